--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
