Add the decision core for completions

Cause: every promise on the request path rests on decisions that must be testable without sockets or clocks. Change: ids, units, timer service, invariants; admission, membership, routing by estimated time to first token, groups, retry budget, quarantine of crashing content, and the dispatcher that joins them.

--- /dev/null
+++ b/crates/core/src/dispatch/groups.rs
@@ -0,0 +1,108 @@
+//! Requests that need the memory of several engines.
+
+use std::time::Duration;
+
+use crate::{
+    clock::Instant,
+    dispatch::{Action, Dispatcher, Due, flight::Phase},
+    ids::{AttemptId, EngineId, RequestId},
+    recovery::reservation::{Order, Progress, Reply},
+    request::Reason,
+    routing::Unroutable,
+};
+
+/// Shortest pause before a group is planned anew.
+const ROOM_RETRY: Duration = Duration::from_millis(100);
+
+impl Dispatcher {
+    /// Takes in an engine's answer to a reservation.
+    pub fn reserved(
+        &mut self,
+        attempt: AttemptId,
+        engine: &EngineId,
+        reply: Reply,
+        now: Instant,
+    ) -> Vec<Action> {
+        let (progress, orders) = self.ledger.replied(attempt, engine, reply, now);
+        for order in orders {
+            self.push_order(attempt, order);
+        }
+        let Some(id) = self.attempts.get(&attempt).copied() else {
+            return self.take_actions();
+        };
+        match progress {
+            Progress::Pending => {}
+            Progress::Complete => self.send(id, now),
+            Progress::Abandoned => {
+                self.drop_attempt(id, now);
+                self.wait_for_room(id, now);
+            }
+        }
+        self.take_actions()
+    }
+
+    /// Notes that an engine has given reserved memory back.
+    pub fn released(&mut self, attempt: AttemptId, engine: &EngineId) {
+        self.ledger.released(attempt, engine);
+    }
+
+    pub(crate) fn reserve_group(&mut self, id: RequestId, attempt: AttemptId) {
+        let Some(plan) = self.flights.get(&id).and_then(|f| f.plan.as_ref()) else {
+            return;
+        };
+        let members = plan.segments.iter().map(|s| (s.engine.clone(), s.memory));
+        let orders = self.ledger.begin(attempt, members.collect());
+        for order in orders {
+            self.push_order(attempt, order);
+        }
+    }
+
+    pub(crate) fn release_group(&mut self, attempt: AttemptId, now: Instant) {
+        for order in self.ledger.release(attempt, now) {
+            self.push_order(attempt, order);
+        }
+    }
+
+    /// Tries again after a pause; the pause differs between instances, so two
+    /// that want overlapping groups do not meet again and again.
+    pub(crate) fn wait_for_room(&mut self, id: RequestId, now: Instant) {
+        self.enter_waiting(id);
+        let jitter = self.fleet.random();
+        let pause = ROOM_RETRY.mul_f64(1.0 + jitter);
+        self.timers.subscribe(now + pause, Due::Retry(id));
+    }
+
+    /// Plans a waiting request anew.
+    pub(crate) fn retry(&mut self, id: RequestId, now: Instant) {
+        let Some(flight) = self.flights.get(&id) else {
+            return;
+        };
+        if flight.phase != Phase::Waiting {
+            return;
+        }
+        let request = flight.request.clone();
+        match self.fleet.plan(&request, now) {
+            Ok(plan) => {
+                self.leave_waiting();
+                self.start(id, plan, now);
+            }
+            Err(Unroutable::TooLong) => self.give_up(id, Reason::TooLong, None, now),
+            Err(Unroutable::NoRoom | Unroutable::NoEngine) => {
+                self.leave_waiting();
+                self.wait_for_room(id, now);
+            }
+        }
+    }
+
+    pub(crate) fn push_order(&mut self, attempt: AttemptId, order: Order) {
+        self.actions.push(match order {
+            Order::Reserve(engine, memory) => Action::Reserve {
+                attempt,
+                engine,
+                memory,
+            },
+            Order::Renew(engine) => Action::Renew { attempt, engine },
+            Order::Release(engine) => Action::Release { attempt, engine },
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/suspects.rs
@@ -0,0 +1,246 @@
+//! Requests that were in flight on an engine that crashed.
+
+use std::time::Duration;
+
+use crate::{
+    checked,
+    clock::Instant,
+    dispatch::{
+        Dispatcher, Due,
+        flight::{Flight, Phase},
+    },
+    ids::{EngineId, RequestId},
+    recovery::quarantine,
+    request::Reason,
+};
+
+/// Longest wait for an engine to become empty for a suspect.
+const EMPTY_WAIT: Duration = Duration::from_secs(2);
+
+/// Time between two looks at engines that are to become empty.
+const POLL_PERIOD: Duration = Duration::from_millis(50);
+
+/// One engine in so many may be kept for suspects, over all instances.
+const ENGINES_PER_ISOLATION: usize = 5;
+
+/// Engines that die within `MASS_WINDOW` and more are put down to the
+/// infrastructure, and what ran on them is not run alone.
+const MASS_DEATHS: usize = 3;
+
+/// Time within which several deaths count as one event.
+const MASS_WINDOW: Duration = Duration::from_secs(2);
+
+/// An engine kept for one suspect.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Isolation {
+    request: RequestId,
+    since: Instant,
+    sent: bool,
+}
+
+impl Dispatcher {
+    /// An engine crashed: whatever ran there is suspected.
+    pub(crate) fn engine_crashed(&mut self, engine: &EngineId, now: Instant) {
+        let on_engine: Vec<RequestId> = self
+            .flights
+            .iter()
+            .filter(|(_, flight)| flight.uses(engine))
+            .map(|(id, _)| *id)
+            .collect();
+        self.ledger.engine_lost(engine);
+        self.fleet.restarted(engine, now);
+        self.note_death(now);
+        for id in on_engine {
+            self.suspect(id, engine, now);
+        }
+        self.pump_suspects(now);
+    }
+
+    /// Looks for engines on which waiting suspects can run alone.
+    pub(crate) fn pump_suspects(&mut self, now: Instant) {
+        self.send_isolated(now);
+        while self.isolations.len() < self.most_isolations() {
+            let Some(id) = self.suspects.pop_front() else {
+                break;
+            };
+            if !self.isolate(id, now) {
+                self.suspects.push_front(id);
+                break;
+            }
+        }
+        self.send_isolated(now);
+        let unsent = self.isolations.values().any(|isolation| !isolation.sent);
+        if unsent || !self.suspects.is_empty() {
+            self.timers.subscribe(now + POLL_PERIOD, Due::Isolation);
+        }
+    }
+
+    /// A request that ran to its end is suspected no more.
+    pub(crate) fn clear_suspicion(&mut self, id: RequestId) {
+        if let Some(flight) = self.flights.get(&id) {
+            self.quarantine.cleared(&flight.request.fingerprint);
+        }
+    }
+
+    /// Opens the engine that a suspect had to itself.
+    pub(crate) fn end_isolation(&mut self, id: RequestId, now: Instant) {
+        let engines = self.isolations_of(id);
+        for engine in &engines {
+            self.isolations.remove(engine);
+            self.fleet.set_isolated(engine, false);
+        }
+        if !engines.is_empty() {
+            self.timers.subscribe(now, Due::Isolation);
+        }
+    }
+
+    /// Opens the engine that was being emptied for a request that ended.
+    pub(crate) fn drop_unsent_isolation(&mut self, id: RequestId) {
+        for engine in self.isolations_of(id) {
+            self.isolations.remove(&engine);
+            self.fleet.set_isolated(&engine, false);
+        }
+    }
+
+    fn isolations_of(&self, id: RequestId) -> Vec<EngineId> {
+        let own = self.isolations.iter().filter(|(_, i)| i.request == id);
+        own.map(|(engine, _)| engine.clone()).collect()
+    }
+
+    fn note_death(&mut self, now: Instant) {
+        self.deaths.push_back(now);
+        while self
+            .deaths
+            .front()
+            .is_some_and(|at| now - *at > MASS_WINDOW)
+        {
+            self.deaths.pop_front();
+        }
+    }
+
+    fn suspect(&mut self, id: RequestId, engine: &EngineId, now: Instant) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        if flight.phase == Phase::Reserving {
+            // The engine held memory for it but has not seen the request.
+            self.drop_attempt(id, now);
+            self.replan(id, now);
+            return;
+        }
+        flight.failures += 1;
+        let alone =
+            flight.alone || (flight.is_group() && was_suspect(&self.quarantine, flight, now));
+        let content = flight.request.fingerprint;
+        let others: Vec<EngineId> = flight.engines();
+        self.cancel_on_survivors(id, others, engine);
+        self.drop_attempt(id, now);
+        let verdict = self.quarantine.crashed(content, alone, now);
+        if verdict == quarantine::Verdict::Quarantined {
+            let again = Some(quarantine::QUARANTINE_TIME);
+            self.give_up(id, Reason::Quarantined, again, now);
+        } else {
+            self.queue_suspect(id, now);
+        }
+    }
+
+    fn queue_suspect(&mut self, id: RequestId, now: Instant) {
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        let group = flight.request.memory() > self.fleet.largest_memory(&flight.request.model);
+        if group || self.deaths.len() >= MASS_DEATHS {
+            self.replan(id, now);
+            return;
+        }
+        flight.phase = Phase::Suspect;
+        self.suspects.push_back(id);
+    }
+
+    fn cancel_on_survivors(&mut self, id: RequestId, engines: Vec<EngineId>, dead: &EngineId) {
+        let Some(attempt) = self.flights.get(&id).and_then(|f| f.attempt) else {
+            return;
+        };
+        let engines: Vec<EngineId> = engines.into_iter().filter(|e| e != dead).collect();
+        if !engines.is_empty() {
+            self.actions
+                .push(super::Action::Cancel { attempt, engines });
+        }
+    }
+
+    fn most_isolations(&self) -> usize {
+        let instances = self.settings.fleet.instances.max(1) as usize;
+        let open = self.fleet.engines().iter().filter(|e| e.open).count();
+        (open / (ENGINES_PER_ISOLATION * instances)).max(1)
+    }
+
+    /// Closes the emptiest engine to other work, for this suspect.
+    fn isolate(&mut self, id: RequestId, now: Instant) -> bool {
+        let Some(flight) = self.flights.get(&id) else {
+            return true;
+        };
+        let memory = flight.request.memory();
+        let model = flight.request.model.clone();
+        let usable = self
+            .fleet
+            .engines()
+            .iter()
+            .filter(|e| e.open && !e.isolated && e.facts.model == model)
+            .filter(|e| e.facts.memory >= memory);
+        let emptiest = usable.min_by_key(|e| e.load.requests());
+        let Some(engine) = emptiest.map(|e| e.facts.id.clone()) else {
+            return false;
+        };
+        self.fleet.set_isolated(&engine, true);
+        let isolation = Isolation {
+            request: id,
+            since: now,
+            sent: false,
+        };
+        self.isolations.insert(engine, isolation);
+        true
+    }
+
+    fn send_isolated(&mut self, now: Instant) {
+        let ready: Vec<(EngineId, RequestId)> = self
+            .isolations
+            .iter()
+            .filter(|(engine, isolation)| !isolation.sent && self.is_ready(engine, isolation, now))
+            .map(|(engine, isolation)| (engine.clone(), isolation.request))
+            .collect();
+        for (engine, id) in ready {
+            self.run_alone(id, &engine, now);
+        }
+    }
+
+    fn is_ready(&self, engine: &EngineId, isolation: &Isolation, now: Instant) -> bool {
+        let empty = self
+            .fleet
+            .engine(engine)
+            .is_some_and(|e| e.load.requests() == 0);
+        empty || now - isolation.since >= EMPTY_WAIT
+    }
+
+    fn run_alone(&mut self, id: RequestId, engine: &EngineId, now: Instant) {
+        if let Some(isolation) = self.isolations.get_mut(engine) {
+            isolation.sent = true;
+        }
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return;
+        };
+        checked!(
+            flight.phase == Phase::Suspect,
+            "suspects-run-alone",
+            "{id} is {:?}",
+            flight.phase
+        );
+        flight.alone = true;
+        let plan = self.fleet.plan_isolated(&flight.request, engine);
+        self.start(id, plan, now);
+    }
+}
+
+fn was_suspect(quarantine: &quarantine::Quarantine, flight: &Flight, now: Instant) -> bool {
+    let (verdict, _) = quarantine.verdict(&flight.request.fingerprint, now);
+    verdict == quarantine::Verdict::Suspect
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,66 @@
+//! Names of the things that the system deals with.
+
+use std::fmt;
+
+crate::text_id! {
+    /// Name of a client account.
+    pub struct AccountId;
+
+    /// Name of a model.
+    pub struct ModelId;
+
+    /// Name of an engine.
+    pub struct EngineId;
+
+    /// Name of an instance of this system.
+    pub struct InstanceId;
+
+    /// Name of a data centre.
+    pub struct DataCentreId;
+
+    /// Id of a plan: a digest of all that it depends on.
+    pub struct PlanId;
+}
+
+/// Number of a request, unique in one process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// Number of one try to run a request, unique in one process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId(pub u64);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "r{}", self.0)
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a{}", self.0)
+    }
+}
+
+impl std::str::FromStr for RequestId {
+    type Err = crate::error::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_number(text, 'r').map(Self)
+    }
+}
+
+impl std::str::FromStr for AttemptId {
+    type Err = crate::error::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_number(text, 'a').map(Self)
+    }
+}
+
+fn parse_number(text: &str, prefix: char) -> Result<u64, crate::error::Error> {
+    let digits = text.strip_prefix(prefix).unwrap_or(text);
+    digits.parse().map_err(|_| {
+        crate::error::Error::new("parse id", format!("`{text}` is not {prefix} and a number"))
+    })
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,83 @@
-//! Placeholder.
+/*!
+The decisions of cyclamengauge, free of I/O, clocks and runtimes.
+
+Everything here is a state machine: events and the current time go in, actions
+come out. The daemon connects them to sockets; tests and experiments drive them
+in virtual time. The main parts:
+
+- [`dispatch`] carries each completion from admission to its end;
+- [`routing`] chooses the engine, or the group of engines, for a request;
+- [`admission`] enforces the client accounts' limits and shares;
+- [`membership`] knows which targets may receive new work;
+- [`recovery`] holds the retry budget, the quarantine and the reservations;
+- [`once`] runs non-idempotent calls at most once;
+- [`intent`] turns operators' declarations into plans and orders.
+
+# Example
+
+One engine, one account, one request:
+
+```
+use std::time::Duration;
+use cyclamengauge_core::{
+    admission, clock::Instant, dispatch, ids, request, routing,
+    units::{Tokens, TokensPerSecond},
+};
+
+let now = Instant::ZERO;
+let mut dispatcher = dispatch::Dispatcher::new(dispatch::Settings::default());
+dispatcher.configure(
+    dispatch::Settings::default(),
+    vec![admission::AccountLimits {
+        account: ids::AccountId::new("dispatch-desk"),
+        weight: 1.0,
+        requests_per_s: 100.0,
+        prompt_tokens_per_s: 1e6,
+        max_concurrent: 10,
+    }],
+);
+let engine = ids::EngineId::new("e1");
+let facts = routing::EngineFacts {
+    id: engine.clone(),
+    model: ids::ModelId::new("meadow"),
+    memory: Tokens(450_000),
+    slots: 32,
+    prefill: TokensPerSecond(50_000.0),
+    distance: Duration::from_micros(500),
+};
+dispatcher.declare_engine(facts, false, now);
+dispatcher.reported(&engine, 1, false, &routing::Report::default(), now);
+
+let actions = dispatcher.arrive(
+    request::Request {
+        id: ids::RequestId(1),
+        account: ids::AccountId::new("dispatch-desk"),
+        model: ids::ModelId::new("meadow"),
+        prompt: Tokens(2_000),
+        max_output: Tokens(100),
+        prefixes: Vec::new(),
+        fingerprint: request::Fingerprint::default(),
+        deadline: now + Duration::from_secs(30),
+    },
+    now,
+);
+assert!(matches!(&actions[..], [dispatch::Action::Send(_)]));
+```
+*/
+
+#[macro_use]
+mod macros;
+
+pub mod admission;
+pub mod clock;
+pub mod dispatch;
+pub mod error;
+pub mod ids;
+pub mod invariant;
+pub mod membership;
+pub mod recovery;
+pub mod request;
+pub mod routing;
+pub mod text;
+pub mod timer;
+pub mod units;
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,20 @@
+/*!
+Decides which engine serves a request.
+
+[`Fleet`] holds what this instance knows of the engines: their facts, their
+lagging load reports corrected by own requests, and the prefixes they cache.
+[`Fleet::plan`] estimates the time to first token on each candidate and takes
+the cheapest. The design and the ways weighed are in `docs/design/routing.md`.
+*/
+
+mod affinity;
+mod fleet;
+mod load;
+mod mix;
+mod plan;
+
+pub use affinity::{EngineIndex, Index};
+pub use fleet::{CacheEvent, Engine, EngineFacts, Fleet, FleetSettings, Policy};
+pub use load::{Backlog, LEVELS, Load, Priority, Report};
+pub use mix::Mix;
+pub use plan::{Choice, Plan, Segment, Unroutable};
--- /dev/null
+++ b/crates/core/src/routing/plan.rs
@@ -0,0 +1,453 @@
+//! The choice of an engine, or of a group of engines, for one request.
+
+use std::time::Duration;
+
+use crate::{
+    clock::Instant,
+    ids::EngineId,
+    request::Request,
+    routing::{
+        affinity::EngineIndex,
+        fleet::{Engine, Fleet, Policy},
+        load::{Backlog, Priority},
+        mix::FIRST_LONG_LEVEL,
+    },
+    units::Tokens,
+};
+
+/// Engines considered for one decision; more are sampled down to this number,
+/// which keeps the cost of a decision level as the fleet grows.
+const MAX_CANDIDATES: usize = 32;
+
+/// Prompt tokens that an engine reads in one step; a request waits for the
+/// step in progress whatever its priority.
+const STEP: Tokens = Tokens(2_048);
+
+/// Mean time for which a request holds its slot.
+const MEAN_STREAM: Duration = Duration::from_secs(4);
+
+/// Wait assumed on an engine without memory for the request.
+const MEMORY_WAIT: Duration = Duration::from_secs(8);
+
+/// Most of an engine's speed that more urgent arrivals are assumed to take.
+const MAX_SHARE_ABOVE: f64 = 0.95;
+
+/// Estimates this close count as equal.
+const TOLERANCE: Duration = Duration::from_millis(4);
+
+/// Share of its own reading time that a long prompt must gain before it goes
+/// to an engine outside the long ones' own, at a short weight of 1.
+const SPILL_SHARE: f64 = 0.5;
+
+/// Alternatives named in the log.
+const RUNNERS_UP: usize = 2;
+
+/// Share of a member's memory that a group's segment may fill.
+const SEGMENT_SHARE: f64 = 0.95;
+
+/// Why an engine was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// It gives the earliest first token.
+    Earliest,
+    /// It caches part of the prompt and gives the earliest first token.
+    Cached,
+    /// It belongs to the engines kept for long prompts.
+    LongHome,
+    /// No single engine has the memory, so a group serves the request.
+    Group,
+    /// The request is suspected of crashing engines and runs alone.
+    Isolated,
+    /// The next in turn, by a baseline policy.
+    Turn,
+    /// The least loaded, by a baseline policy.
+    Least,
+    /// Drawn at random, by a baseline policy.
+    Drawn,
+}
+
+impl std::fmt::Display for Choice {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Earliest => "earliest",
+            Self::Cached => "cached",
+            Self::LongHome => "long-home",
+            Self::Group => "group",
+            Self::Isolated => "isolated",
+            Self::Turn => "turn",
+            Self::Least => "least",
+            Self::Drawn => "drawn",
+        })
+    }
+}
+
+crate::values! {
+    /// Part of a request's memory on one engine.
+    pub struct Segment {
+        /// The engine.
+        pub engine: EngineId,
+        /// KV memory for the segment.
+        pub memory: Tokens,
+        /// Prompt tokens to be read there.
+        pub unread: Tokens,
+    }
+
+    /// Where a request is to run.
+    ///
+    /// Invariant: `segments` is not empty, names each engine once, and its
+    /// memory sums to at least the request's.
+    pub struct Plan {
+        /// One segment, or several for a prompt larger than an engine. The
+        /// first engine leads: it generates the answer.
+        pub segments: Vec<Segment>,
+        /// Priority on the engines.
+        pub priority: Priority,
+        /// Estimated time to first token.
+        pub estimate: Duration,
+        /// Prompt tokens expected in the lead engine's cache.
+        pub cached: Tokens,
+        /// Why this engine.
+        pub choice: Choice,
+        /// The next best engines with their estimates.
+        pub runners_up: Vec<(EngineId, Duration)>,
+    }
+}
+
+/// Why no plan could be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unroutable {
+    /// No open engine serves the model.
+    NoEngine,
+    /// All engines together lack the memory, even when idle.
+    TooLong,
+    /// A group is needed and too few engines have room now.
+    NoRoom,
+}
+
+/// One engine under consideration.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    engine: EngineIndex,
+    cached: Tokens,
+    estimate: Duration,
+    /// What the policy minimises, in seconds for the length-aware one.
+    cost: f64,
+}
+
+impl Fleet {
+    /// Decides where a request runs. Nothing is noted as sent by that.
+    ///
+    /// # Errors
+    ///
+    /// If no engine, or no group of engines, can take the request.
+    pub fn plan(&mut self, request: &Request, now: Instant) -> Result<Plan, Unroutable> {
+        let open = self.open_engines(&request.model);
+        if open == 0 {
+            return Err(Unroutable::NoEngine);
+        }
+        if request.memory() > self.largest_memory(&request.model) {
+            return self.plan_group(request, now);
+        }
+        let mut candidates = self.candidates(request, MAX_CANDIDATES, now);
+        candidates.retain(|c| self.engines[c.engine].facts.memory >= request.memory());
+        self.pick(request, candidates)
+    }
+
+    /// Notes the arrival of a request in the measured mix.
+    pub fn arrived(&mut self, request: &Request, now: Instant) {
+        let priority = Priority::for_prefill(request.prompt);
+        self.mix.arrived(priority, request.prompt, now);
+    }
+
+    /// Plans a suspect's run on an engine that it has to itself.
+    pub fn plan_isolated(&self, request: &Request, engine: &EngineId) -> Plan {
+        let segment = Segment {
+            engine: engine.clone(),
+            memory: request.memory(),
+            unread: request.prompt,
+        };
+        Plan {
+            segments: vec![segment],
+            priority: Priority::for_prefill(request.prompt),
+            estimate: Duration::ZERO,
+            cached: Tokens(0),
+            choice: Choice::Isolated,
+            runners_up: Vec::new(),
+        }
+    }
+
+    fn pick(
+        &mut self,
+        request: &Request,
+        mut candidates: Vec<Candidate>,
+    ) -> Result<Plan, Unroutable> {
+        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let best = *candidates.first().ok_or(Unroutable::NoRoom)?;
+        let chosen = match self.settings.policy {
+            Policy::LengthAware => self.among_equals(&candidates),
+            _ => best,
+        };
+        let runners_up = candidates
+            .iter()
+            .filter(|other| other.engine != chosen.engine)
+            .take(RUNNERS_UP)
+            .map(|other| (self.engines[other.engine].facts.id.clone(), other.estimate))
+            .collect();
+        let unread = request.prompt - chosen.cached;
+        Ok(Plan {
+            segments: vec![Segment {
+                engine: self.engines[chosen.engine].facts.id.clone(),
+                memory: request.memory(),
+                unread,
+            }],
+            priority: self.priority(unread),
+            estimate: chosen.estimate,
+            cached: chosen.cached,
+            choice: self.choice(&chosen, unread),
+            runners_up,
+        })
+    }
+
+    /// Instances with the same stale view would all take the same engine; a
+    /// random choice among near equals spreads them.
+    fn among_equals(&mut self, sorted: &[Candidate]) -> Candidate {
+        let limit = sorted[0].cost + TOLERANCE.as_secs_f64();
+        let equals = sorted.iter().take_while(|c| c.cost <= limit).count();
+        sorted[self.rng.usize(..equals)]
+    }
+
+    fn priority(&self, unread: Tokens) -> Priority {
+        match self.settings.policy {
+            Policy::LengthAware => Priority::for_prefill(unread),
+            _ => Priority(0),
+        }
+    }
+
+    fn choice(&self, chosen: &Candidate, unread: Tokens) -> Choice {
+        let long = Priority::for_prefill(unread).index() >= FIRST_LONG_LEVEL;
+        match self.settings.policy {
+            Policy::LengthAware if chosen.cached.0 > 0 => Choice::Cached,
+            Policy::LengthAware if long && self.engines[chosen.engine].long_home => {
+                Choice::LongHome
+            }
+            Policy::LengthAware => Choice::Earliest,
+            Policy::RoundRobin => Choice::Turn,
+            Policy::Random => Choice::Drawn,
+            Policy::LeastRequests | Policy::LeastTokens => Choice::Least,
+        }
+    }
+
+    fn candidates(&mut self, request: &Request, most: usize, now: Instant) -> Vec<Candidate> {
+        let open = self.open.get(&request.model).cloned().unwrap_or_default();
+        match self.settings.policy {
+            Policy::LengthAware => self.length_aware(request, &open, most, now),
+            policy => self.baseline(policy, request, &open, now),
+        }
+    }
+
+    fn baseline(
+        &mut self,
+        policy: Policy,
+        request: &Request,
+        open: &[EngineIndex],
+        now: Instant,
+    ) -> Vec<Candidate> {
+        self.turns += 1;
+        let turn = self.turns;
+        let count = open.len();
+        let mut candidates = Vec::with_capacity(count);
+        for (position, index) in open.iter().enumerate() {
+            let engine = &self.engines[*index];
+            let backlog = engine.load.backlog(now, engine.facts.prefill);
+            let cost = match policy {
+                Policy::RoundRobin => ((position + count - turn % count) % count) as f64,
+                Policy::Random => self.rng.f64(),
+                Policy::LeastTokens => backlog.total() + self.rng.f64(),
+                _ => f64::from(engine.load.requests()) + self.rng.f64(),
+            };
+            let wait = engine.facts.prefill.0.recip() * (backlog.total() + request.prompt.0 as f64);
+            candidates.push(Candidate {
+                engine: *index,
+                cached: Tokens(0),
+                estimate: Duration::from_secs_f64(wait),
+                cost,
+            });
+        }
+        candidates
+    }
+
+    fn length_aware(
+        &mut self,
+        request: &Request,
+        open: &[EngineIndex],
+        most: usize,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let cached = self.index.lookup(&request.prefixes);
+        let mut sampled = self.sample(open, most);
+        for (engine, _) in &cached {
+            let usable = self.engines[*engine].open && !self.engines[*engine].isolated;
+            let serves = self.engines[*engine].facts.model == request.model;
+            if usable && serves && !sampled.contains(engine) {
+                sampled.push(*engine);
+            }
+        }
+        let speed = self.speed_of(open);
+        sampled
+            .into_iter()
+            .map(|engine| {
+                let known = cached.iter().find(|(holder, _)| *holder == engine);
+                let hit = known.map_or(Tokens(0), |(_, tokens)| *tokens);
+                let share = self.share_above(request.prompt - hit, speed, now);
+                self.estimate(request, engine, hit, share, now)
+            })
+            .collect()
+    }
+
+    /// A mean is enough here, and its cost does not grow with the fleet.
+    fn speed_of(&self, open: &[EngineIndex]) -> f64 {
+        let probe = &open[..open.len().min(MAX_CANDIDATES)];
+        let sum: f64 = probe.iter().map(|i| self.engines[*i].facts.prefill.0).sum();
+        sum / probe.len().max(1) as f64 * open.len() as f64
+    }
+
+    fn share_above(&self, unread: Tokens, speed: f64, now: Instant) -> f64 {
+        let fleet = crate::units::TokensPerSecond(speed);
+        let priority = Priority::for_prefill(unread);
+        let share = self
+            .mix
+            .share_above(priority, fleet, self.settings.instances, now);
+        share.min(MAX_SHARE_ABOVE)
+    }
+
+    fn sample(&mut self, open: &[EngineIndex], most: usize) -> Vec<EngineIndex> {
+        if open.len() <= most {
+            return open.to_vec();
+        }
+        let mut sampled = Vec::with_capacity(most + 4);
+        while sampled.len() < most {
+            let drawn = open[self.rng.usize(..open.len())];
+            if !sampled.contains(&drawn) {
+                sampled.push(drawn);
+            }
+        }
+        sampled
+    }
+
+    fn estimate(
+        &self,
+        request: &Request,
+        index: EngineIndex,
+        cached: Tokens,
+        share_above: f64,
+        now: Instant,
+    ) -> Candidate {
+        let engine = &self.engines[index];
+        let unread = request.prompt - cached;
+        let priority = Priority::for_prefill(unread);
+        let backlog = engine.load.backlog(now, engine.facts.prefill);
+        let rate = engine.facts.prefill.0;
+        let reading = (backlog.ahead_of(priority) + unread.0 as f64) / rate / (1.0 - share_above);
+        let step = step_wait(&backlog, priority, rate);
+        let estimate = reading
+            + step
+            + 2.0 * engine.facts.distance.as_secs_f64()
+            + slot_wait(engine)
+            + memory_wait(engine, request.memory());
+        let cost = estimate + self.interference(engine, priority, unread, step);
+        Candidate {
+            engine: index,
+            cached,
+            estimate: Duration::from_secs_f64(estimate),
+            cost,
+        }
+    }
+
+    /// What the choice costs others, in seconds: long prompts outside their own
+    /// engines hold up the short ones there, and short ones among the long hold
+    /// up those.
+    fn interference(&self, engine: &Engine, priority: Priority, unread: Tokens, step: f64) -> f64 {
+        let weight = self.settings.short_weight;
+        if priority.index() >= FIRST_LONG_LEVEL {
+            if engine.long_home {
+                return 0.0;
+            }
+            return weight * SPILL_SHARE * unread.0 as f64 / engine.facts.prefill.0;
+        }
+        weight * step
+    }
+
+    fn plan_group(&mut self, request: &Request, now: Instant) -> Result<Plan, Unroutable> {
+        let mut candidates = self.candidates(request, usize::MAX, now);
+        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let usable =
+            |engine: &Engine| Tokens((engine.facts.memory.0 as f64 * SEGMENT_SHARE) as u64);
+        let capacity: Tokens = candidates
+            .iter()
+            .map(|c| usable(&self.engines[c.engine]))
+            .sum();
+        if capacity < request.memory() {
+            return Err(Unroutable::TooLong);
+        }
+        let size = group_size(request, &candidates, |c| usable(&self.engines[c.engine]));
+        let share = Tokens(request.memory().0.div_ceil(size as u64));
+        let roomy: Vec<Candidate> = candidates
+            .iter()
+            .filter(|c| free_memory(&self.engines[c.engine]) >= share)
+            .take(size)
+            .copied()
+            .collect();
+        if roomy.len() < size {
+            return Err(Unroutable::NoRoom);
+        }
+        let unread = Tokens(request.prompt.0.div_ceil(size as u64));
+        let segments = roomy.iter().map(|c| Segment {
+            engine: self.engines[c.engine].facts.id.clone(),
+            memory: share,
+            unread,
+        });
+        let slowest = roomy.iter().map(|c| c.estimate / size as u32).max();
+        Ok(Plan {
+            segments: segments.collect(),
+            priority: self.priority(unread),
+            estimate: slowest.unwrap_or_default(),
+            cached: Tokens(0),
+            choice: Choice::Group,
+            runners_up: Vec::new(),
+        })
+    }
+}
+
+fn group_size(
+    request: &Request,
+    sorted: &[Candidate],
+    usable: impl Fn(&Candidate) -> Tokens,
+) -> usize {
+    let smallest = sorted.iter().map(|c| usable(c).0).min().unwrap_or(1).max(1);
+    request.memory().0.div_ceil(smallest) as usize
+}
+
+fn free_memory(engine: &Engine) -> Tokens {
+    engine.facts.memory - engine.load.reserved()
+}
+
+/// Expected rest of the step in progress when less urgent work is running.
+fn step_wait(backlog: &Backlog, priority: Priority, rate: f64) -> f64 {
+    let behind = backlog.behind(priority).min(STEP.0 as f64);
+    behind / rate / 2.0
+}
+
+fn slot_wait(engine: &Engine) -> f64 {
+    let requests = engine.load.requests();
+    let over = (requests + 1).saturating_sub(engine.facts.slots);
+    f64::from(over) * MEAN_STREAM.as_secs_f64() / f64::from(engine.facts.slots.max(1))
+}
+
+fn memory_wait(engine: &Engine, memory: Tokens) -> f64 {
+    let free = free_memory(engine);
+    if free >= memory {
+        return 0.0;
+    }
+    let missing = (memory - free).0 as f64 / engine.facts.memory.0.max(1) as f64;
+    MEMORY_WAIT.as_secs_f64() * missing.min(1.0)
+}
