--- /dev/null
+++ b/crates/core/src/intent/confirm.rs
@@ -0,0 +1,178 @@
+//! Gets a plan accepted by one conditional write.
+
+use cyclamengauge_schema::v1;
+
+use crate::checked;
+
+/// Reads of the row before the outcome is reported as unknown.
+const READ_TRIES: u32 = 4;
+
+/// Entries of the history that the row keeps.
+const HISTORY_LENGTH: usize = 50;
+
+/// What happened at the table service.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The write took effect.
+    Written,
+    /// The write's condition did not hold.
+    Conflict,
+    /// No reply came to the write.
+    WriteLost,
+    /// The row was read; none if there is no row yet.
+    Read(Option<Box<v1::Accepted>>),
+    /// The row could not be read.
+    ReadFailed,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Write the row if its configuration version is the plan's base.
+    Write(Box<v1::Accepted>),
+    /// Read the row.
+    Read,
+    /// The confirmation is over.
+    Done(Verdict),
+}
+
+/// How a confirmation ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// The plan is in force from this version on.
+    Accepted(Box<v1::Accepted>),
+    /// The plan no longer says the truth.
+    Refused(String),
+    /// The write may or may not have taken effect.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Reading { tries: u32, wrote: bool },
+    Writing,
+    Over,
+}
+
+/// A confirmation under way.
+///
+/// It reads first, so a plan that was accepted already is reported as such and
+/// a stale one is refused without a write.
+#[derive(Clone, Debug)]
+pub struct Confirmation {
+    plan: v1::Plan,
+    operator: String,
+    unix_ms: u64,
+    phase: Phase,
+}
+
+impl Confirmation {
+    /// Starts the confirmation of a plan whose fleet observations still hold.
+    pub fn begin(plan: v1::Plan, operator: &str, unix_ms: u64) -> (Self, Step) {
+        let confirmation = Self {
+            plan,
+            operator: operator.to_owned(),
+            unix_ms,
+            phase: Phase::Reading {
+                tries: 0,
+                wrote: false,
+            },
+        };
+        (confirmation, Step::Read)
+    }
+
+    /// Takes in what happened and returns what to do next.
+    pub fn on(&mut self, event: Event) -> Step {
+        match (self.phase, event) {
+            (Phase::Reading { .. }, Event::Read(row)) => self.read(row),
+            (Phase::Reading { tries, wrote }, _) => self.read_failed(tries, wrote),
+            (Phase::Writing, Event::Conflict | Event::WriteLost) => self.read_again(0, true),
+            (Phase::Writing, Event::Written) => {
+                // The row written is known, but reading it back costs little
+                // and yields what others will see.
+                self.read_again(0, true)
+            }
+            _ => self.over(Verdict::Unknown),
+        }
+    }
+
+    fn read(&mut self, row: Option<Box<v1::Accepted>>) -> Step {
+        let version = row.as_ref().map_or(0, |r| r.version);
+        if let Some(row) = &row {
+            let mine = row.history.iter().find(|h| h.plan_id == self.plan.id);
+            if let Some(entry) = mine {
+                checked!(
+                    entry.version == self.plan.base_version + 1,
+                    "successor-of-base",
+                    "plan {} was accepted as version {}",
+                    self.plan.id,
+                    entry.version
+                );
+                return self.over(Verdict::Accepted(row.clone()));
+            }
+        }
+        if version != self.plan.base_version {
+            return self.over(Verdict::Refused(moved(row.as_deref(), &self.plan)));
+        }
+        // After a lost reply the write may still be under way; repeating it is
+        // safe, as only one write can have this base.
+        self.phase = Phase::Writing;
+        Step::Write(Box::new(self.successor(row.as_deref())))
+    }
+
+    fn read_failed(&mut self, tries: u32, wrote: bool) -> Step {
+        if tries + 1 < READ_TRIES {
+            return self.read_again(tries + 1, wrote);
+        }
+        match wrote {
+            true => self.over(Verdict::Unknown),
+            false => self.over(Verdict::Refused(
+                "the table service does not answer; nothing was written".into(),
+            )),
+        }
+    }
+
+    fn read_again(&mut self, tries: u32, wrote: bool) -> Step {
+        self.phase = Phase::Reading { tries, wrote };
+        Step::Read
+    }
+
+    fn over(&mut self, verdict: Verdict) -> Step {
+        self.phase = Phase::Over;
+        Step::Done(verdict)
+    }
+
+    fn successor(&self, base: Option<&v1::Accepted>) -> v1::Accepted {
+        let version = self.plan.base_version + 1;
+        let mut history = base.map(|b| b.history.clone()).unwrap_or_default();
+        history.push(v1::HistoryEntry {
+            version,
+            plan_id: self.plan.id.clone(),
+            operator: self.operator.clone(),
+            accepted_unix_ms: self.unix_ms,
+        });
+        let surplus = history.len().saturating_sub(HISTORY_LENGTH);
+        history.drain(..surplus);
+        v1::Accepted {
+            version,
+            plan_id: self.plan.id.clone(),
+            operator: self.operator.clone(),
+            accepted_unix_ms: self.unix_ms,
+            declaration: self.plan.declaration.clone(),
+            history,
+        }
+    }
+}
+
+fn moved(row: Option<&v1::Accepted>, plan: &v1::Plan) -> String {
+    match row {
+        Some(row) => format!(
+            "the plan was made from version {}, but {} confirmed plan {} as version {}",
+            plan.base_version, row.operator, row.plan_id, row.version
+        ),
+        None => format!(
+            "the plan was made from version {}, but there is no configuration",
+            plan.base_version
+        ),
+    }
+}
--- /dev/null
+++ b/crates/core/src/intent/current.rs
@@ -0,0 +1,111 @@
+//! The newest configuration that an instance knows.
+
+use std::time::Duration;
+
+use cyclamengauge_schema::v1;
+
+use crate::{checked, clock::Instant};
+
+/// Time without proof of being current after which an instance says so.
+const DOUBT_AFTER: Duration = Duration::from_secs(9);
+
+/// What came of an offered configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adopted {
+    /// It is newer and in force now.
+    Newer,
+    /// It is the one in force.
+    Same,
+    /// It is older and was dropped.
+    Older,
+}
+
+/// Whether an instance knows that its configuration is current.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// The table service showed it within the last seconds.
+    Proven,
+    /// The last proof is this old; the configuration stays in force.
+    Doubtful(Duration),
+    /// There was no proof yet: it came from a peer.
+    Unproven,
+}
+
+/// The configuration in force at an instance.
+///
+/// Invariant: the version never goes back, and of one version there is only
+/// one plan.
+///
+/// # Example
+///
+/// ```
+/// use cyclamengauge_core::intent;
+/// use cyclamengauge_schema::v1;
+///
+/// let mut current = intent::Current::default();
+/// let newer = v1::Accepted { version: 2, ..Default::default() };
+/// assert_eq!(current.offer(newer), intent::Adopted::Newer);
+/// let older = v1::Accepted { version: 1, ..Default::default() };
+/// assert_eq!(current.offer(older), intent::Adopted::Older);
+/// assert_eq!(current.version(), 2);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Current {
+    accepted: Option<Box<v1::Accepted>>,
+    proven_at: Option<Instant>,
+}
+
+impl Current {
+    /// The version in force; 0 if there is none.
+    pub fn version(&self) -> u64 {
+        self.accepted.as_ref().map_or(0, |a| a.version)
+    }
+
+    /// The configuration in force.
+    pub fn accepted(&self) -> Option<&v1::Accepted> {
+        self.accepted.as_deref()
+    }
+
+    /// Whether it is known to be current.
+    pub fn freshness(&self, now: Instant) -> Freshness {
+        match self.proven_at {
+            None => Freshness::Unproven,
+            Some(at) if now - at <= DOUBT_AFTER => Freshness::Proven,
+            Some(at) => Freshness::Doubtful(now - at),
+        }
+    }
+
+    /// Time since the last proof.
+    pub fn proven_ago(&self, now: Instant) -> Option<Duration> {
+        self.proven_at.map(|at| now - at)
+    }
+
+    /// Adopts a configuration from the store or a peer if it is newer.
+    pub fn offer(&mut self, offered: v1::Accepted) -> Adopted {
+        let version = self.version();
+        if offered.version > version {
+            self.accepted = Some(Box::new(offered));
+            return Adopted::Newer;
+        }
+        if offered.version < version {
+            return Adopted::Older;
+        }
+        if let Some(known) = &self.accepted {
+            checked!(
+                known.plan_id == offered.plan_id,
+                "one-plan-per-version",
+                "version {version} is plan {} and plan {}",
+                known.plan_id,
+                offered.plan_id
+            );
+        }
+        Adopted::Same
+    }
+
+    /// Notes that the table service showed this version as the newest.
+    pub fn proven(&mut self, version: u64, now: Instant) {
+        if version == self.version() {
+            self.proven_at = Some(now);
+        }
+    }
+}
