Add the daemon's parts and the policy experiment

Cause: the thin path needs the daemon; the routing needs a measurement before it is deepened. Change: the daemon's HTTP, engines, peers, operators and control modules; an engine model; compare, which drives four dispatchers in virtual time.

--- a/crates/core/src/dispatch/failures.rs
+++ b/crates/core/src/dispatch/failures.rs
@@ -27,7 +27,7 @@
     pub fn probed(&mut self, engine: &EngineId, probed: Probed, now: Instant) -> Vec<Action> {
         let known = self.members.incarnation(engine);
         match probed {
-            Probed::Alive { incarnation } if Some(incarnation) == known => {
+            Probed::Alive { incarnation } if known.is_none_or(|known| known == incarnation) => {
                 self.link_broke(engine, now);
             }
             Probed::Alive { .. } => self.engine_crashed(engine, now),
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -27,7 +27,7 @@
 const LONGEST_EJECTION: Duration = Duration::from_secs(300);
 
 /// Time after which a target without a report gets nothing new.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(2_500);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Whether a target may receive new work, and if not, why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/daemon/src/callers/completions.rs
@@ -0,0 +1,349 @@
+//! Completions, streamed or whole.
+
+use std::{cell::RefCell, rc::Rc};
+
+use actix_http::{Request, Response, body::BoxBody};
+use bytes::Bytes;
+use cyclamengauge_core::{
+    clock::Instant,
+    dispatch::Outcome,
+    ids::{ModelId, RequestId},
+    request::{self, Ran, Reason, Refusal},
+};
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::{
+    callers::{self, admit, content},
+    http,
+    node::{AccountEntry, Caller, Node, Piece, TextPiece, decode, unix_ms},
+    telemetry,
+};
+
+/// Pieces of an answer that may wait for the caller to take them.
+const PIECES_AHEAD: usize = 64;
+
+/// The two shapes in which completions are asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Shape {
+    /// A prompt and its continuation.
+    Text,
+    /// Messages and the next one.
+    Chat,
+}
+
+impl Shape {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Text => "/v1/completions",
+            Self::Chat => "/v1/chat/completions",
+        }
+    }
+}
+
+/// Tells the dispatcher if the caller's side is dropped before the end.
+struct Guard {
+    node: Rc<Node>,
+    request: RequestId,
+    ended: bool,
+    _body: admit::HeldBody,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if !self.ended {
+            let request = self.request;
+            self.node.callers.borrow_mut().remove(&request);
+            self.node.decide(|d, now| d.caller_gone(request, now));
+        }
+    }
+}
+
+/// The receiving end of one answer.
+struct Answer {
+    guard: Guard,
+    pieces: mpsc::Receiver<Piece>,
+    end: Rc<RefCell<Option<Outcome>>>,
+    shape: Shape,
+    model: String,
+    prompt_tokens: u64,
+    arrived_at: Instant,
+}
+
+/// Answers a request for a completion.
+pub(crate) async fn handle(
+    node: Rc<Node>,
+    mut request: Request,
+    shape: Shape,
+) -> Response<BoxBody> {
+    match prepare(&node, &mut request, shape).await {
+        Err(refused) => refused,
+        Ok((answer, true)) => answer.stream().await,
+        Ok((answer, false)) => answer.whole().await,
+    }
+}
+
+async fn prepare(
+    node: &Rc<Node>,
+    request: &mut Request,
+    shape: Shape,
+) -> Result<(Answer, bool), Response<BoxBody>> {
+    let account = admit::account(node, request)?;
+    let deadline = admit::deadline(node, request, &account, 0)?;
+    let arrived_at = node.clock.now();
+    let body = admit::body(node, request).await?;
+    let content = understand(node, &body.bytes).await?;
+    check_model(node, &account, &content.model)?;
+    if node.closing.get() {
+        return Err(callers::refuse(&Refusal {
+            reason: Reason::ShuttingDown,
+            ran: Ran::No,
+            retry_after: None,
+        }));
+    }
+    let id = node.next_request();
+    let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
+    let end = Rc::new(RefCell::new(None));
+    let caller = Caller {
+        pieces: sender,
+        end: Rc::clone(&end),
+        body: body.bytes.clone(),
+        path: shape.path(),
+    };
+    node.callers.borrow_mut().insert(id, caller);
+    let answer = Answer {
+        guard: Guard {
+            node: Rc::clone(node),
+            request: id,
+            ended: false,
+            _body: body,
+        },
+        pieces: receiver,
+        end,
+        shape,
+        model: content.model.clone(),
+        prompt_tokens: content.prompt.get(),
+        arrived_at,
+    };
+    let wanted = request::Request {
+        id,
+        account: account.id,
+        model: ModelId::new(&content.model),
+        prompt: content.prompt,
+        max_output: content.max_output,
+        prefixes: content.prefixes,
+        fingerprint: content.fingerprint,
+        deadline: arrived_at + deadline,
+    };
+    node.decide(|d, now| d.arrive(wanted, now));
+    Ok((answer, content.stream))
+}
+
+async fn understand(node: &Node, body: &Bytes) -> Result<content::Content, Response<BoxBody>> {
+    let bytes_per_token = node.directory.borrow().routing.bytes_per_token;
+    let key = decode(&node.settings.fingerprint_key).unwrap_or_default();
+    let read = if body.len() < content::LARGE_BODY {
+        content::read(body, bytes_per_token, &key)
+    } else {
+        let body = body.clone();
+        let reading = move || content::read(&body, bytes_per_token, &key);
+        match actix_rt::task::spawn_blocking(reading).await {
+            Ok(read) => read,
+            Err(_) => Err("the body could not be read".to_owned()),
+        }
+    };
+    read.map_err(|detail| http::problem(400, "bad-request", &detail, Ran::No, None))
+}
+
+fn check_model(node: &Node, account: &AccountEntry, model: &str) -> Result<(), Response<BoxBody>> {
+    let allowed = account.models.is_empty() || account.models.iter().any(|m| m == model);
+    let current = node.current.borrow();
+    let declared = current
+        .accepted()
+        .and_then(|accepted| accepted.declaration.as_ref())
+        .is_some_and(|d| d.models.iter().any(|m| m.name == model));
+    if allowed && declared {
+        return Ok(());
+    }
+    let detail = "the model is not declared for this account";
+    Err(http::problem(404, "unknown-model", detail, Ran::No, None))
+}
+
+impl Answer {
+    /// Answers with one body once the whole text is there.
+    async fn whole(mut self) -> Response<BoxBody> {
+        let mut text = String::new();
+        let mut finish_reason = None;
+        let mut tokens = 0;
+        loop {
+            match self.next().await {
+                Piece::Text(piece) => {
+                    self.note_first(tokens);
+                    tokens += 1;
+                    text.push_str(&piece.text);
+                    finish_reason = piece.finish_reason.or(finish_reason);
+                }
+                Piece::End(Outcome::Completed) => {
+                    return self.whole_body(&text, finish_reason, tokens);
+                }
+                // Nothing was passed on, so no part of an answer is out.
+                Piece::End(Outcome::Refused(refusal)) => {
+                    let ran = match refusal.ran {
+                        Ran::Partial => Ran::Unknown,
+                        other => other,
+                    };
+                    return callers::refuse(&Refusal { ran, ..refusal });
+                }
+                Piece::End(Outcome::Abandoned) => return abandoned(),
+            }
+        }
+    }
+
+    /// Streams the answer. The status waits for the first text, so a refusal
+    /// before it is a true one.
+    async fn stream(mut self) -> Response<BoxBody> {
+        let first = match self.next().await {
+            Piece::Text(piece) => piece,
+            Piece::End(Outcome::Refused(refusal)) => return callers::refuse(&refusal),
+            Piece::End(Outcome::Abandoned) => return abandoned(),
+            Piece::End(Outcome::Completed) => TextPiece {
+                text: String::new(),
+                finish_reason: Some("stop".to_owned()),
+            },
+        };
+        self.note_first(0);
+        let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
+        let (alive, gone) = mpsc::channel::<()>(1);
+        actix_rt::spawn(self.pump(first, sender, alive));
+        http::streamed(http::Chunks::new(receiver, gone))
+    }
+
+    /// Feeds the body; ends when the answer does or the caller has gone.
+    async fn pump(
+        mut self,
+        first: TextPiece,
+        sender: mpsc::Sender<Bytes>,
+        alive: mpsc::Sender<()>,
+    ) {
+        let mut piece = Piece::Text(first);
+        loop {
+            let last = matches!(piece, Piece::End(_));
+            let chunk = self.chunk(piece);
+            if sender.send(chunk).await.is_err() || last {
+                return;
+            }
+            piece = tokio::select! {
+                piece = self.next() => piece,
+                () = alive.closed() => return,
+            };
+        }
+    }
+
+    async fn next(&mut self) -> Piece {
+        let piece = match self.pieces.recv().await {
+            Some(piece) => piece,
+            None => {
+                let end = self.end.borrow_mut().take();
+                Piece::End(end.unwrap_or(Outcome::Abandoned))
+            }
+        };
+        if matches!(piece, Piece::End(_)) {
+            self.guard.ended = true;
+        }
+        piece
+    }
+
+    fn note_first(&self, tokens: u64) {
+        if tokens == 0 {
+            let taken = self.guard.node.clock.now() - self.arrived_at;
+            telemetry::first_token(self.prompt_tokens, taken);
+        }
+    }
+
+    fn chunk(&self, piece: Piece) -> Bytes {
+        match piece {
+            Piece::Text(piece) => event(&self.text_chunk(&piece)),
+            Piece::End(Outcome::Completed) => Bytes::from_static(b"data: [DONE]\n\n"),
+            Piece::End(Outcome::Refused(refusal)) => error_event(&refusal),
+            Piece::End(Outcome::Abandoned) => error_event(&Refusal {
+                reason: Reason::TargetsFailed,
+                ran: Ran::Partial,
+                retry_after: None,
+            }),
+        }
+    }
+
+    fn text_chunk(&self, piece: &TextPiece) -> serde_json::Value {
+        let choice = match self.shape {
+            Shape::Text => json!({
+                "index": 0, "text": piece.text, "finish_reason": piece.finish_reason,
+            }),
+            Shape::Chat => json!({
+                "index": 0, "delta": {"content": piece.text}, "finish_reason": piece.finish_reason,
+            }),
+        };
+        let object = match self.shape {
+            Shape::Text => "text_completion",
+            Shape::Chat => "chat.completion.chunk",
+        };
+        json!({
+            "id": self.id(), "object": object, "created": unix_ms() / 1_000,
+            "model": self.model, "choices": [choice],
+        })
+    }
+
+    fn whole_body(&self, text: &str, finish: Option<String>, tokens: u64) -> Response<BoxBody> {
+        let choice = match self.shape {
+            Shape::Text => json!({"index": 0, "text": text, "finish_reason": finish}),
+            Shape::Chat => json!({
+                "index": 0, "message": {"role": "assistant", "content": text},
+                "finish_reason": finish,
+            }),
+        };
+        let object = match self.shape {
+            Shape::Text => "text_completion",
+            Shape::Chat => "chat.completion",
+        };
+        let body = json!({
+            "id": self.id(), "object": object, "created": unix_ms() / 1_000,
+            "model": self.model, "choices": [choice],
+            "usage": {
+                "prompt_tokens": self.prompt_tokens, "completion_tokens": tokens,
+                "total_tokens": self.prompt_tokens + tokens,
+            },
+        });
+        http::json(200, body.to_string())
+    }
+
+    fn id(&self) -> String {
+        let node = &self.guard.node;
+        let number = self.guard.request.0;
+        format!(
+            "cmpl-{}-{:x}-{number}",
+            node.settings.instance, node.incarnation
+        )
+    }
+}
+
+fn event(value: &serde_json::Value) -> Bytes {
+    Bytes::from(format!("data: {value}\n\n"))
+}
+
+/// The end of a stream that broke; no `[DONE]` follows.
+fn error_event(refusal: &Refusal) -> Bytes {
+    let error = json!({"error": {
+        "type": format!("urn:cyclamengauge:problem:{}", refusal.reason),
+        "message": callers::detail(refusal.reason),
+        "ran": refusal.ran.to_string(),
+        "retry_after_s": refusal.retry_after.map(|time| time.as_secs()),
+    }});
+    Bytes::from(format!("event: error\ndata: {error}\n\n"))
+}
+
+fn abandoned() -> Response<BoxBody> {
+    callers::refuse(&Refusal {
+        reason: Reason::TargetsFailed,
+        ran: Ran::Unknown,
+        retry_after: None,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/callers/mod.rs
@@ -0,0 +1,91 @@
+/*!
+The interface for callers: completions in the OpenAI-compatible shape, and
+calls to plain services.
+*/
+
+mod admit;
+mod completions;
+mod content;
+mod services;
+
+use std::rc::Rc;
+
+use actix_http::{Request, Response, body::BoxBody};
+use cyclamengauge_core::request::{Ran, Reason, Refusal};
+
+use crate::{http, node::Node};
+
+/// Prefix of calls to plain services.
+const SERVICES: &str = "/services/";
+
+/// Answers one request of a caller.
+pub async fn handle(node: Rc<Node>, request: Request) -> Response<BoxBody> {
+    let path = request.path().to_owned();
+    let method = request.method().as_str().to_owned();
+    match (method.as_str(), path.as_str()) {
+        ("GET", "/ready") => ready(&node),
+        ("POST", "/v1/completions") => {
+            completions::handle(node, request, completions::Shape::Text).await
+        }
+        ("POST", "/v1/chat/completions") => {
+            completions::handle(node, request, completions::Shape::Chat).await
+        }
+        (_, "/v1/completions" | "/v1/chat/completions") => wrong_method(),
+        (_, path) if path.starts_with(SERVICES) => services::handle(node, request).await,
+        _ => http::problem(
+            404,
+            "not-found",
+            "there is nothing at this path",
+            Ran::No,
+            None,
+        ),
+    }
+}
+
+fn ready(node: &Node) -> Response<BoxBody> {
+    match node.is_ready() {
+        true => http::text(200, "ready\n"),
+        false => http::text(503, "not ready\n"),
+    }
+}
+
+fn wrong_method() -> Response<BoxBody> {
+    http::problem(
+        405,
+        "wrong-method",
+        "only POST is allowed here",
+        Ran::No,
+        None,
+    )
+}
+
+/// The answer to a refused request.
+pub(crate) fn refuse(refusal: &Refusal) -> Response<BoxBody> {
+    let reason = refusal.reason;
+    http::problem(
+        reason.status(),
+        reason.name(),
+        detail(reason),
+        refusal.ran,
+        refusal.retry_after,
+    )
+}
+
+/// What a caller should know about a reason.
+pub(crate) fn detail(reason: Reason) -> &'static str {
+    match reason {
+        Reason::RateLimited => "the account is above its rate",
+        Reason::TooManyConcurrent => "the account has too many requests in progress",
+        Reason::OverFairShare => "capacity is short and the account is above its share",
+        Reason::DeadlineUnreachable => "the answer could not be complete by the deadline",
+        Reason::InstanceFull => "this instance has all the requests it may hold",
+        Reason::NoEngine => "no engine serves the model now",
+        Reason::TooLong => "the prompt needs more memory than the fleet has",
+        Reason::Quarantined => "this content has crashed engines",
+        Reason::UnderSuspicion => "this content was on an engine that crashed; a verdict is due",
+        Reason::ShuttingDown => "this instance is shutting down; another one will serve you",
+        Reason::DeadlineExceeded => "the deadline passed",
+        Reason::TargetsFailed => "the targets failed and no retry is left",
+        Reason::NotConfigured => "this instance has no configuration for the request yet",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/engines/mod.rs
@@ -0,0 +1,34 @@
+/*!
+What the daemon says to engines: attempts, reservations, probes and orders.
+
+The headers and paths of the engines' protocol stand in
+`docs/design/engine-protocol.md`.
+*/
+
+mod attempt;
+mod events;
+mod memory;
+mod reports;
+
+pub use attempt::{cancel, run_attempt};
+pub use events::{Event, EventReader};
+pub use memory::{release, renew, reserve, sweep};
+pub use reports::{observed, order, poll_reports, probe, take_report};
+
+/// Header that names an attempt.
+pub const ATTEMPT: &str = "x-attempt";
+
+/// Header with the priority on the engine.
+pub const PRIORITY: &str = "x-priority";
+
+/// Header with the time left for the answer.
+pub const DEADLINE_MS: &str = "x-deadline-ms";
+
+/// Header with the number of tokens that the caller has already.
+pub const RESUME_FROM: &str = "x-resume-from";
+
+/// Header with the prompt's length as the daemon estimates it.
+pub const PROMPT_TOKENS: &str = "x-prompt-tokens";
+
+/// Header with the reservation whose memory is to be used.
+pub const RESERVATION: &str = "x-reservation";
--- /dev/null
+++ b/crates/daemon/src/http/reply.rs
@@ -0,0 +1,127 @@
+//! Answers in the shapes that the project uses.
+
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use actix_http::{
+    Response, StatusCode,
+    body::{BodySize, BoxBody, MessageBody},
+};
+use bytes::Bytes;
+use cyclamengauge_core::request::Ran;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+/// Prefix of the types of problems.
+const PROBLEM_TYPE: &str = "urn:cyclamengauge:problem:";
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    detail: &'a str,
+    ran: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_s: Option<u64>,
+}
+
+/// An answer of JSON.
+pub fn json(status: u16, body: impl Into<Bytes>) -> Response<BoxBody> {
+    typed(status, "application/json", body.into())
+}
+
+/// An answer of plain text.
+pub fn text(status: u16, body: impl Into<Bytes>) -> Response<BoxBody> {
+    typed(status, "text/plain; charset=utf-8", body.into())
+}
+
+/// An answer that tells of a problem, as `application/problem+json`.
+///
+/// `ran` says what may have run; `retry_after` when a new try is worth while.
+pub fn problem(
+    status: u16,
+    kind: &str,
+    detail: &str,
+    ran: Ran,
+    retry_after: Option<Duration>,
+) -> Response<BoxBody> {
+    let retry_after_s = retry_after.map(whole_seconds);
+    let problem = Problem {
+        r#type: format!("{PROBLEM_TYPE}{kind}"),
+        title: kind,
+        status,
+        detail,
+        ran: ran.to_string(),
+        retry_after_s,
+    };
+    let body = serde_json::to_vec(&problem).unwrap_or_default();
+    let mut builder = Response::build(code(status));
+    builder.insert_header(("content-type", "application/problem+json"));
+    if let Some(seconds) = retry_after_s {
+        builder.insert_header(("retry-after", seconds.to_string()));
+    }
+    builder
+        .body(BoxBody::new(Bytes::from(body)))
+        .map_into_boxed_body()
+}
+
+/// A stream of server-sent events, fed through a channel.
+pub fn streamed(chunks: Chunks) -> Response<BoxBody> {
+    Response::build(StatusCode::OK)
+        .insert_header(("content-type", "text/event-stream"))
+        .insert_header(("cache-control", "no-store"))
+        .body(BoxBody::new(chunks))
+        .map_into_boxed_body()
+}
+
+/// A body whose chunks arrive through a channel. What it `holds` is dropped
+/// with it, also when the peer closes the connection.
+pub struct Chunks {
+    receiver: mpsc::Receiver<Bytes>,
+    _holds: Box<dyn std::any::Any>,
+}
+
+impl Chunks {
+    /// Creates a body from the receiving end of its chunks.
+    pub fn new(receiver: mpsc::Receiver<Bytes>, holds: impl std::any::Any) -> Self {
+        Self {
+            receiver,
+            _holds: Box::new(holds),
+        }
+    }
+}
+
+impl MessageBody for Chunks {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Stream
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        self.receiver.poll_recv(cx).map(|chunk| chunk.map(Ok))
+    }
+}
+
+fn typed(status: u16, content_type: &str, body: Bytes) -> Response<BoxBody> {
+    Response::build(code(status))
+        .insert_header(("content-type", content_type))
+        .body(BoxBody::new(body))
+        .map_into_boxed_body()
+}
+
+fn code(status: u16) -> StatusCode {
+    StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn whole_seconds(time: Duration) -> u64 {
+    time.as_millis().div_ceil(1_000) as u64
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,9 @@
-//! Placeholder.
-fn main() {}
+//! The daemon's program.
+
+use std::process::ExitCode;
+
+use cyclamengauge_daemon::{Options, run};
+
+fn main() -> ExitCode {
+    run(&Options::from_command_line())
+}
--- /dev/null
+++ b/crates/daemon/src/node/configure.rs
@@ -0,0 +1,113 @@
+//! Puts a configuration in force.
+
+use std::{rc::Rc, time::Duration};
+
+use cyclamengauge_core::{
+    admission, dispatch, ids, intent, routing,
+    units::{Tokens, TokensPerSecond},
+};
+use cyclamengauge_schema::v1;
+
+use crate::node::{Directory, Node};
+
+impl Node {
+    /// Adopts a configuration if it is newer than the one in force.
+    pub fn adopt(self: &Rc<Self>, accepted: v1::Accepted) -> intent::Adopted {
+        let version = accepted.version;
+        let adopted = self.current.borrow_mut().offer(accepted);
+        if adopted == intent::Adopted::Newer {
+            self.put_in_force();
+            tracing::info!(version, "config: version {version} is in force");
+            self.version_changed.notify_waiters();
+        }
+        adopted
+    }
+
+    /// Applies the number of instances that share the traffic.
+    pub fn instances_changed(&self) {
+        let declaration = self.declaration();
+        self.configure_dispatcher(&declaration);
+    }
+
+    fn put_in_force(self: &Rc<Self>) {
+        let declaration = self.declaration();
+        *self.directory.borrow_mut() = Directory::new(&declaration);
+        self.configure_dispatcher(&declaration);
+        self.declare_engines(&declaration);
+        self.timer_changed.notify_waiters();
+    }
+
+    fn declaration(&self) -> v1::Declaration {
+        let current = self.current.borrow();
+        let accepted = current.accepted();
+        accepted
+            .and_then(|a| a.declaration.clone())
+            .unwrap_or_default()
+    }
+
+    fn configure_dispatcher(&self, declaration: &v1::Declaration) {
+        let policy = declaration.routing.unwrap_or_default();
+        let limits = self.settings.caller_limits.unwrap_or_default();
+        let settings = dispatch::Settings {
+            fleet: routing::FleetSettings {
+                policy: policy_of(policy.kind()),
+                short_weight: policy.short_weight,
+                instances: self.instances(),
+                seed: self.incarnation,
+            },
+            max_in_flight: limits.max_in_flight as usize,
+            stall_timeout: Duration::from_millis(u64::from(policy.stall_timeout_ms)),
+            max_ejected_share: policy.max_ejected_share,
+        };
+        let accounts = declaration.accounts.iter().map(limits_of).collect();
+        self.dispatcher.borrow_mut().configure(settings, accounts);
+    }
+
+    fn declare_engines(&self, declaration: &v1::Declaration) {
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        for engine in &declaration.engines {
+            let standby = engine.role() == v1::EngineRole::Standby;
+            let facts = self.facts(engine);
+            dispatcher.declare_engine(facts, engine.drain || standby, now);
+        }
+        let declared =
+            |id: &ids::EngineId| declaration.engines.iter().any(|e| e.name == id.as_str());
+        dispatcher.keep_engines(declared, now);
+    }
+
+    fn facts(&self, engine: &v1::Engine) -> routing::EngineFacts {
+        let distances = &self.settings.distances;
+        let distance = distances
+            .iter()
+            .find(|d| d.data_centre == engine.data_centre);
+        routing::EngineFacts {
+            id: ids::EngineId::new(&engine.name),
+            model: ids::ModelId::new(&engine.model),
+            memory: Tokens(u64::from(engine.memory_tokens)),
+            slots: engine.slots,
+            prefill: TokensPerSecond(f64::from(engine.prefill_tokens_per_s)),
+            distance: Duration::from_micros(distance.map_or(0, |d| u64::from(d.one_way_us))),
+        }
+    }
+}
+
+fn policy_of(kind: v1::PolicyKind) -> routing::Policy {
+    match kind {
+        v1::PolicyKind::RoundRobin => routing::Policy::RoundRobin,
+        v1::PolicyKind::Random => routing::Policy::Random,
+        v1::PolicyKind::LeastRequests => routing::Policy::LeastRequests,
+        v1::PolicyKind::LeastTokens => routing::Policy::LeastTokens,
+        v1::PolicyKind::LengthAware | v1::PolicyKind::Unspecified => routing::Policy::LengthAware,
+    }
+}
+
+fn limits_of(account: &v1::ClientAccount) -> admission::AccountLimits {
+    admission::AccountLimits {
+        account: ids::AccountId::new(&account.name),
+        weight: account.weight,
+        requests_per_s: account.requests_per_s,
+        prompt_tokens_per_s: account.prompt_tokens_per_s,
+        max_concurrent: account.max_concurrent,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operators/mod.rs
@@ -0,0 +1,86 @@
+/*!
+The interface for operators: plans, confirmations, status and metrics.
+
+`GET /ready` and `GET /metrics` need no key; everything else needs an
+operator's key in `Authorization: Bearer`.
+*/
+
+mod intents;
+mod status;
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::{HttpMessage, Request, Response, body::BoxBody};
+use cyclamengauge_core::request::Ran;
+use metrics_exporter_prometheus::PrometheusHandle;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::{
+    http,
+    node::{Node, decode},
+};
+
+pub(crate) use intents::CONFIGURATION;
+
+/// Largest declaration.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// Time in which a body must have arrived.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers one request of an operator.
+pub async fn handle(
+    node: Rc<Node>,
+    metrics: PrometheusHandle,
+    mut request: Request,
+) -> Response<BoxBody> {
+    let path = request.path().to_owned();
+    let method = request.method().as_str().to_owned();
+    match (method.as_str(), path.as_str()) {
+        ("GET", "/ready") if node.is_ready() => return http::text(200, "ready\n"),
+        ("GET", "/ready") => return http::text(503, "not ready\n"),
+        ("GET", "/metrics") => {
+            status::measure(&node);
+            return http::text(200, metrics.render());
+        }
+        _ => {}
+    }
+    let Some(operator) = operator(&node, &request) else {
+        let detail = "the key in `Authorization: Bearer` belongs to no operator";
+        return http::problem(401, "wrong-key", detail, Ran::No, None);
+    };
+    let payload = request.take_payload();
+    let body = match http::collect(payload, MAX_BODY_BYTES, BODY_TIMEOUT).await {
+        Ok(body) => body,
+        Err(err) => return http::problem(400, "bad-body", &err.to_string(), Ran::No, None),
+    };
+    match (method.as_str(), path.as_str()) {
+        ("GET", "/v1/status") => status::status(&node),
+        ("GET", "/v1/configuration") => status::configuration(&node),
+        ("POST", "/v1/plan") => intents::plan(&node, &operator, &body).await,
+        ("POST", "/v1/confirm") => intents::confirm(&node, &operator, &body).await,
+        _ => http::problem(
+            404,
+            "not-found",
+            "there is nothing at this path",
+            Ran::No,
+            None,
+        ),
+    }
+}
+
+/// The operator to whom the request's key belongs.
+fn operator(node: &Node, request: &Request) -> Option<String> {
+    let header = request.headers().get("authorization")?.to_str().ok()?;
+    let key = header.strip_prefix("Bearer ")?.trim();
+    let hash: [u8; 32] = Sha256::digest(key).into();
+    let mut found = None;
+    for operator in &node.settings.operators {
+        let known = decode(&operator.key_sha256).unwrap_or_default();
+        if bool::from(known.ct_eq(&hash)) {
+            found = Some(operator.name.clone());
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/daemon/src/peers/exchange.rs
@@ -0,0 +1,234 @@
+//! Exchanges with the other instances: who is told what, and when.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use cyclamengauge_core::{
+    ids::EngineId, recovery::quarantine, request::Fingerprint, units::Tokens,
+};
+use cyclamengauge_schema::v1::{self, peer_client::PeerClient};
+use tonic::transport::{Channel, Endpoint};
+
+use crate::{
+    node::{Node, decode, unix_ms},
+    peers::mac,
+};
+
+/// Time between two exchanges without news.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Peers told at once about a new configuration.
+const FANOUT: usize = 4;
+
+/// Time for a peer to answer.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Verdicts in one message.
+const MAX_VERDICTS: usize = 64;
+
+/// Engines in one message's load hints.
+const MAX_HINTS: usize = 64;
+
+/// Exchanges with peers for the life of the daemon.
+pub async fn run(node: Rc<Node>) {
+    let mut channels: HashMap<String, PeerClient<Channel>> = HashMap::new();
+    let mut turn = fastrand::usize(..);
+    loop {
+        let news = node.version_changed.notified();
+        let pause = PERIOD.mul_f64(0.75 + fastrand::f64() / 2.0);
+        let told = tokio::select! {
+            () = news => FANOUT,
+            () = actix_rt::time::sleep(pause) => 1,
+        };
+        for _ in 0..told.min(node.settings.peers.len()) {
+            turn = turn.wrapping_add(1);
+            let peer = &node.settings.peers[turn % node.settings.peers.len()];
+            let Some(client) = channel(&mut channels, peer) else {
+                continue;
+            };
+            actix_rt::spawn(one(Rc::clone(&node), client, peer.instance.clone()));
+        }
+    }
+}
+
+/// Takes in a peer's message and answers with what it lacks.
+pub fn answer(node: &Rc<Node>, message: v1::ExchangeRequest) -> v1::ExchangeReply {
+    let behind = message.version;
+    learn(
+        node,
+        &message.instance,
+        News {
+            version: message.version,
+            accepted: message.accepted,
+            verdicts: message.verdicts,
+            loads: message.loads,
+            leaving: message.leaving,
+        },
+    );
+    v1::ExchangeReply {
+        instance: node.settings.instance.clone(),
+        incarnation: node.incarnation,
+        version: node.current.borrow().version(),
+        accepted: accepted_for(node, behind),
+        verdicts: verdicts(node),
+        loads: loads(node),
+        mac: Vec::new(),
+        sent_unix_ms: unix_ms(),
+    }
+}
+
+/// What a message tells.
+struct News {
+    version: u64,
+    accepted: Option<v1::Accepted>,
+    verdicts: Vec<v1::Verdict>,
+    loads: Vec<v1::LoadHint>,
+    leaving: bool,
+}
+
+fn channel(
+    channels: &mut HashMap<String, PeerClient<Channel>>,
+    peer: &v1::PeerAddress,
+) -> Option<PeerClient<Channel>> {
+    if let Some(client) = channels.get(&peer.instance) {
+        return Some(client.clone());
+    }
+    let endpoint = Endpoint::from_shared(format!("http://{}", peer.address)).ok()?;
+    let channel = endpoint
+        .connect_timeout(TIMEOUT)
+        .timeout(TIMEOUT)
+        .connect_lazy();
+    let client = PeerClient::new(channel);
+    channels.insert(peer.instance.clone(), client.clone());
+    Some(client)
+}
+
+async fn one(node: Rc<Node>, mut client: PeerClient<Channel>, peer: String) {
+    let key = decode(&node.settings.peer_key).unwrap_or_default();
+    let mut message = request(&node, &peer);
+    mac::sign_request(&mut message, &key);
+    metrics::counter!("cyclamengauge_peer_exchanges_total").increment(1);
+    match client.exchange(message).await {
+        Ok(reply) => {
+            let reply = reply.into_inner();
+            if !mac::verify_reply(&reply, &key) {
+                tracing::warn!(%peer, "peer: the reply of {peer} has a wrong MAC");
+                return;
+            }
+            let news = News {
+                version: reply.version,
+                accepted: reply.accepted,
+                verdicts: reply.verdicts,
+                loads: reply.loads,
+                leaving: false,
+            };
+            learn(&node, &peer, news);
+        }
+        Err(status) => {
+            tracing::debug!(%peer, %status, "peer: {peer} does not answer");
+            metrics::counter!("cyclamengauge_peer_failures_total").increment(1);
+        }
+    }
+}
+
+fn request(node: &Node, peer: &str) -> v1::ExchangeRequest {
+    // The whole configuration is sent only to a peer known to be behind.
+    let known = node.peers.borrow().get(peer).map(|view| view.version);
+    let accepted = known.and_then(|version| accepted_for(node, version));
+    v1::ExchangeRequest {
+        instance: node.settings.instance.clone(),
+        incarnation: node.incarnation,
+        data_centre: node.settings.data_centre.clone(),
+        version: node.current.borrow().version(),
+        accepted,
+        verdicts: verdicts(node),
+        loads: loads(node),
+        leaving: node.closing.get(),
+        mac: Vec::new(),
+        sent_unix_ms: 0,
+    }
+}
+
+fn accepted_for(node: &Node, version: u64) -> Option<v1::Accepted> {
+    let current = node.current.borrow();
+    let accepted = current.accepted()?;
+    (accepted.version > version).then(|| accepted.clone())
+}
+
+fn verdicts(node: &Node) -> Vec<v1::Verdict> {
+    let now = node.clock.now();
+    let dispatcher = node.dispatcher.borrow();
+    let notices = dispatcher.quarantine().notices(MAX_VERDICTS, now);
+    let verdict = |notice: quarantine::Notice| v1::Verdict {
+        fingerprint: notice.fingerprint.0.to_vec(),
+        quarantined: notice.quarantined,
+        crashes: notice.crashes,
+        rest_ms: notice.rest.as_millis() as u64,
+    };
+    notices.into_iter().map(verdict).collect()
+}
+
+fn loads(node: &Node) -> Vec<v1::LoadHint> {
+    let dispatcher = node.dispatcher.borrow();
+    let engines = dispatcher.fleet().engines().iter();
+    engines
+        .map(|engine| (engine, engine.load.own_unread()))
+        .filter(|(_, tokens)| tokens.get() > 0)
+        .take(MAX_HINTS)
+        .map(|(engine, tokens)| v1::LoadHint {
+            engine: engine.facts.id.to_string(),
+            prefill_tokens: tokens.get(),
+        })
+        .collect()
+}
+
+fn learn(node: &Rc<Node>, peer: &str, news: News) {
+    learn_view(node, peer, &news);
+    let now = node.clock.now();
+    if let Some(accepted) = news.accepted {
+        node.adopt(accepted);
+    }
+    let mut dispatcher = node.dispatcher.borrow_mut();
+    for verdict in news.verdicts {
+        let Ok(fingerprint) = verdict.fingerprint.try_into() else {
+            continue;
+        };
+        let notice = quarantine::Notice {
+            fingerprint: Fingerprint(fingerprint),
+            quarantined: verdict.quarantined,
+            crashes: verdict.crashes,
+            rest: Duration::from_millis(verdict.rest_ms),
+        };
+        dispatcher.learn_verdict(&notice, now);
+    }
+    for (engine, tokens) in unread_of_peers(node) {
+        dispatcher.hinted(&engine, tokens, now);
+    }
+}
+
+fn learn_view(node: &Rc<Node>, peer: &str, news: &News) {
+    let mut peers = node.peers.borrow_mut();
+    let view = peers.entry(peer.to_owned()).or_default();
+    let left = view.leaving != news.leaving;
+    view.version = view.version.max(news.version);
+    view.seen_at = Some(node.clock.now());
+    view.leaving = news.leaving;
+    view.loads = news
+        .loads
+        .iter()
+        .map(|hint| (EngineId::new(&hint.engine), Tokens(hint.prefill_tokens)))
+        .collect();
+    drop(peers);
+    if left {
+        node.instances_changed();
+    }
+}
+
+fn unread_of_peers(node: &Node) -> HashMap<EngineId, Tokens> {
+    let mut sums: HashMap<EngineId, Tokens> = HashMap::new();
+    for view in node.peers.borrow().values() {
+        for (engine, tokens) in &view.loads {
+            *sums.entry(engine.clone()).or_default() += *tokens;
+        }
+    }
+    sums
+}
