Measure waits for fair shares and report refusals by class

Cause: at 0.8 load half of the long prompts were refused as over fair share, because their estimate alone counted as shortage. Change: shortage is the mean wait of the fleet; refusals are reported by class. Conclusion: not good enough; shortage must be judged for each request.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -31,9 +31,9 @@
 /// When to come back if there is no better estimate.
 const DEFAULT_RETRY: Duration = Duration::from_secs(2);
 
-/// Estimated wait from which capacity counts as short, so that accounts above
-/// their fair share are refused.
-const SHORTAGE_WAIT: Duration = Duration::from_secs(2);
+/// Mean wait on the engines from which capacity counts as short, so that
+/// accounts above their fair share are refused.
+const SHORTAGE_WAIT: Duration = Duration::from_secs(5);
 
 /// Requests that may wait for a group of engines.
 const MAX_WAITING: usize = 64;
@@ -350,20 +350,13 @@
             let later = (needed - left).max(Duration::from_secs(1));
             return Err(refused(Reason::DeadlineUnreachable, Some(later)));
         }
-        let short = plan.estimate > SHORTAGE_WAIT + self.reading_time(request, plan);
+        let short = self.fleet.mean_wait(&request.model) > SHORTAGE_WAIT;
         if short && self.gate.over_share(&request.account, now) {
             return Err(refused(Reason::OverFairShare, Some(plan.estimate)));
         }
         Ok(())
     }
 
-    fn reading_time(&self, request: &Request, plan: &Plan) -> Duration {
-        let lead = self.fleet.engine(&plan.segments[0].engine);
-        lead.map_or(Duration::ZERO, |engine| {
-            engine.facts.prefill.time_for(request.prompt)
-        })
-    }
-
     /// Starts an attempt by its plan: at once on one engine, after the memory
     /// is reserved on a group.
     pub(crate) fn start(&mut self, id: RequestId, plan: Plan, now: Instant) {
--- a/crates/load/src/experiment/compare.rs
+++ b/crates/load/src/experiment/compare.rs
@@ -187,6 +187,9 @@
                 "completed": row.figures.completed,
                 "refused": row.figures.refused,
                 "late": row.figures.late,
+                "reasons": row.figures.reasons,
+                "refused_by_class": refused_by_class(&row.figures),
+                "reservations_left": row.figures.reservations_left,
                 "wasted_token_share": row.figures.wasted_share(),
             })
         })
@@ -194,6 +197,16 @@
     json!({"seed": seed, "runs": runs})
 }
 
+/// Refused of sent, by class.
+fn refused_by_class(figures: &Figures) -> Value {
+    let names = model::CLASSES.iter().map(|(name, _)| (*name).to_owned());
+    let shares = figures
+        .by_class
+        .iter()
+        .map(|(sent, refused)| json!({"sent": sent, "refused": refused}));
+    Value::Object(names.zip(shares).collect())
+}
+
 fn as_table(rows: &[Row]) -> String {
     let mut lines = vec![format!(
         "{:<16} {:>4} {:>4} {:<15} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>7} {:>8} {:>7} {:>6} {:>6}",
--- a/crates/load/src/experiment/figures.rs
+++ b/crates/load/src/experiment/figures.rs
@@ -41,6 +41,8 @@
     pub late: u64,
     /// Refusals by reason.
     pub reasons: BTreeMap<&'static str, u64>,
+    /// Requests sent and refused by class.
+    pub by_class: Vec<(u64, u64)>,
     useful_tokens: u64,
     wasted_tokens: u64,
     /// Reservations left on engines at the end.
@@ -61,6 +63,7 @@
             refused: 0,
             late: 0,
             reasons: BTreeMap::new(),
+            by_class: vec![(0, 0); model::CLASSES.len()],
             useful_tokens: 0,
             wasted_tokens: 0,
             reservations_left: 0,
@@ -84,6 +87,9 @@
             *self.reasons.entry(refusal.reason.name()).or_default() += 1;
         }
         let unrun = refusal.is_some_and(|r| r.ran == cyclamengauge_core::request::Ran::No);
+        let class = &mut self.by_class[model::class_of(prompt)];
+        class.0 += 1;
+        class.1 += u64::from(refusal.is_some());
         if unrun {
             self.refused += 1;
         } else if !in_time {
@@ -91,8 +97,8 @@
         }
         if let Some(ttft) = ttft {
             let us = (ttft.as_micros() as u64).max(1);
-            self.ttft_us[model::class_of(prompt)].saturating_record(us);
-            self.all_ttft_us.saturating_record(us);
+            let _ = self.ttft_us[model::class_of(prompt)].record(us);
+            let _ = self.all_ttft_us.record(us);
         }
     }
 
