Judge shortage per request and spread groups by the load

Cause: the mean wait of the fleet refused short requests that would have been served at once, and groups of the least size waited for room. Change: an account above its share needs to fit into 0.6 of its time; groups take the size with the earliest first token; priority levels follow the length classes; the engine model reads 1,024 tokens a step; a group is quarantined only after a third crash outside a mass failure.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -31,9 +31,9 @@
 /// When to come back if there is no better estimate.
 const DEFAULT_RETRY: Duration = Duration::from_secs(2);
 
-/// Mean wait on the engines from which capacity counts as short, so that
-/// accounts above their fair share are refused.
-const SHORTAGE_WAIT: Duration = Duration::from_secs(5);
+/// Part of its time that a request may need before capacity counts as short for
+/// it; then accounts above their fair share are refused.
+const FAIR_PART: f64 = 0.6;
 
 /// Requests that may wait for a group of engines.
 const MAX_WAITING: usize = 64;
@@ -219,7 +219,6 @@
             self.finish_unadmitted(request.id, refusal);
             return self.take_actions();
         }
-        self.fleet.arrived(&request, now);
         let planned = self.fleet.plan(&request, now);
         if let Err(refusal) = self.judge(&request, &planned, now) {
             self.gate.done(&request.account);
@@ -227,6 +226,7 @@
             return self.take_actions();
         }
         self.budget.earn();
+        self.fleet.admitted(&request, planned.as_ref().ok(), now);
         let id = request.id;
         let at = request.deadline;
         let deadline = self.timers.subscribe(at, Due::Deadline(id));
@@ -350,7 +350,7 @@
             let later = (needed - left).max(Duration::from_secs(1));
             return Err(refused(Reason::DeadlineUnreachable, Some(later)));
         }
-        let short = self.fleet.mean_wait(&request.model) > SHORTAGE_WAIT;
+        let short = needed > left.mul_f64(FAIR_PART);
         if short && self.gate.over_share(&request.account, now) {
             return Err(refused(Reason::OverFairShare, Some(plan.estimate)));
         }
--- a/crates/core/src/dispatch/suspects.rs
+++ b/crates/core/src/dispatch/suspects.rs
@@ -5,10 +5,7 @@
 use crate::{
     checked,
     clock::Instant,
-    dispatch::{
-        Dispatcher, Due,
-        flight::{Flight, Phase},
-    },
+    dispatch::{Dispatcher, Due, flight::Phase},
     ids::{EngineId, RequestId},
     recovery::quarantine,
     request::Reason,
@@ -27,6 +24,10 @@
 /// infrastructure, and what ran on them is not run alone.
 const MASS_DEATHS: usize = 3;
 
+/// Earlier crashes that prove a request on a group of engines guilty; it cannot
+/// run alone, so one more is needed than for others.
+const GROUP_CRASHES: u32 = 2;
+
 /// Time within which several deaths count as one event.
 const MASS_WINDOW: Duration = Duration::from_secs(2);
 
@@ -129,9 +130,10 @@
             return;
         }
         flight.failures += 1;
-        let alone =
-            flight.alone || (flight.is_group() && was_suspect(&self.quarantine, flight, now));
         let content = flight.request.fingerprint;
+        let before = self.quarantine.crashes(&content, now);
+        let proven = flight.alone || (flight.is_group() && before >= GROUP_CRASHES);
+        let alone = proven && self.deaths.len() < MASS_DEATHS;
         let others: Vec<EngineId> = flight.engines();
         self.cancel_on_survivors(id, others, engine);
         self.drop_attempt(id, now);
@@ -239,8 +241,3 @@
         self.start(id, plan, now);
     }
 }
-
-fn was_suspect(quarantine: &quarantine::Quarantine, flight: &Flight, now: Instant) -> bool {
-    let (verdict, _) = quarantine.verdict(&flight.request.fingerprint, now);
-    verdict == quarantine::Verdict::Suspect
-}
--- a/crates/core/src/recovery/quarantine.rs
+++ b/crates/core/src/recovery/quarantine.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Engines that crashed with the content, as far as the verdict holds.
+    pub fn crashes(&self, content: &Fingerprint, now: Instant) -> u32 {
+        let entry = self.entries.get(content).filter(|e| e.expires_at > now);
+        entry.map_or(0, |entry| entry.crashes)
+    }
+
     /// Notes that the content was in flight on an engine that crashed, alone
     /// there or not, and returns the verdict.
     pub fn crashed(&mut self, content: Fingerprint, alone: bool, now: Instant) -> Verdict {
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -144,9 +144,6 @@
     pub(crate) mix: Mix,
     pub(crate) rng: fastrand::Rng,
     pub(crate) turns: usize,
-    /// Mean time that the engines of each model need for their backlog, as of
-    /// the last rebalancing.
-    waits: BTreeMap<ModelId, Duration>,
 }
 
 impl Fleet {
@@ -162,7 +159,6 @@
             mix: Mix::default(),
             rng,
             turns: 0,
-            waits: BTreeMap::new(),
         }
     }
 
@@ -309,8 +305,6 @@
         let models: Vec<ModelId> = self.open.keys().cloned().collect();
         for model in models {
             self.rebalance_model(&model, now);
-            let wait = self.measure_wait(&model, now);
-            self.waits.insert(model, wait);
         }
     }
 
@@ -334,11 +328,6 @@
         self.rng.f64()
     }
 
-    /// Mean time that the model's engines need for what they have to read.
-    pub fn mean_wait(&self, model: &ModelId) -> Duration {
-        self.waits.get(model).copied().unwrap_or_default()
-    }
-
     /// Speed of all open engines of a model together.
     pub fn speed(&self, model: &ModelId) -> TokensPerSecond {
         let open = self.open.get(model).into_iter().flatten();
@@ -362,16 +351,6 @@
         }
     }
 
-    fn measure_wait(&self, model: &ModelId, now: Instant) -> Duration {
-        let open = self.open.get(model).into_iter().flatten();
-        let unread = open.map(|index| {
-            let engine = &self.engines[*index];
-            engine.load.backlog(now, engine.facts.prefill).total()
-        });
-        let seconds = unread.sum::<f64>() / self.speed(model).0.max(1.0);
-        Duration::from_secs_f64(seconds)
-    }
-
     fn apply_cache_event(&mut self, index: EngineIndex, event: CacheEvent, now: Instant) {
         match event {
             CacheEvent::Stored(prefix) => self.index.stored(index, prefix, now),
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -12,7 +12,7 @@
 pub const LEVELS: usize = 8;
 
 /// Longest unread prompt of each level but the last, in tokens.
-const LEVEL_LIMITS: [u64; LEVELS - 1] = [2_000, 4_000, 8_000, 16_000, 32_000, 100_000, 400_000];
+const LEVEL_LIMITS: [u64; LEVELS - 1] = [8_000, 16_000, 32_000, 64_000, 100_000, 200_000, 400_000];
 
 /// Urgency of a request on its engine; 0 is served first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/core/src/routing/mix.rs
+++ b/crates/core/src/routing/mix.rs
@@ -12,7 +12,7 @@
 const WINDOW: Duration = Duration::from_secs(30);
 
 /// Share of its engines that the long work is planned to use, 0 to 1.
-const LONG_UTILISATION: f64 = 0.8;
+const LONG_UTILISATION: f64 = 0.6;
 
 /// Engines of the fleet that long prompts never claim as their own, 0 to 1.
 const SHORT_FLOOR: f64 = 0.25;
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -21,7 +21,7 @@
 
 /// Prompt tokens that an engine reads in one step; a request waits for the
 /// step in progress whatever its priority.
-const STEP: Tokens = Tokens(2_048);
+const STEP: Tokens = Tokens(1_024);
 
 /// Mean time for which a request holds its slot.
 const MEAN_STREAM: Duration = Duration::from_secs(4);
@@ -37,11 +37,17 @@
 
 /// Share of its own reading time that a long prompt must gain before it goes
 /// to an engine outside the long ones' own, at a short weight of 1.
-const SPILL_SHARE: f64 = 0.5;
+const SPILL_SHARE: f64 = 0.1;
 
 /// Alternatives named in the log.
 const RUNNERS_UP: usize = 2;
 
+/// Engines considered for a group.
+const MAX_GROUP_CANDIDATES: usize = 64;
+
+/// Most engines in a group, as a multiple of those that its memory needs.
+const GROUP_SPREAD: usize = 3;
+
 /// Share of a member's memory that a group's segment may fill.
 const SEGMENT_SHARE: f64 = 0.95;
 
@@ -153,10 +159,12 @@
         self.pick(request, candidates)
     }
 
-    /// Notes the arrival of a request in the measured mix.
-    pub fn arrived(&mut self, request: &Request, now: Instant) {
-        let priority = Priority::for_prefill(request.prompt);
-        self.mix.arrived(priority, request.prompt, now);
+    /// Notes an admitted request in the measured mix, with what its plan
+    /// expects engines to read.
+    pub fn admitted(&mut self, request: &Request, plan: Option<&Plan>, now: Instant) {
+        let planned = plan.map(|plan| plan.segments.iter().map(|s| s.unread).sum());
+        let unread: Tokens = planned.unwrap_or(request.prompt);
+        self.mix.arrived(Priority::for_prefill(unread), unread, now);
     }
 
     /// Plans a suspect's run on an engine that it has to itself.
@@ -377,37 +385,50 @@
         weight * step
     }
 
+    /// Spreads a request over as many engines as give the earliest first token,
+    /// among those with room now.
     fn plan_group(&mut self, request: &Request, now: Instant) -> Result<Plan, Unroutable> {
-        let mut candidates = self.candidates(request, usize::MAX, now);
-        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-        let usable =
-            |engine: &Engine| Tokens((engine.facts.memory.0 as f64 * SEGMENT_SHARE) as u64);
-        let capacity: Tokens = candidates
-            .iter()
-            .map(|c| usable(&self.engines[c.engine]))
-            .sum();
-        if capacity < request.memory() {
+        let open = self.open.get(&request.model).cloned().unwrap_or_default();
+        let usable = |engine: &Engine| engine.facts.memory.0 as f64 * SEGMENT_SHARE;
+        let capacity: f64 = open.iter().map(|i| usable(&self.engines[*i])).sum();
+        if capacity < request.memory().0 as f64 {
             return Err(Unroutable::TooLong);
         }
-        let size = group_size(request, &candidates, |c| usable(&self.engines[c.engine]));
-        let share = Tokens(request.memory().0.div_ceil(size as u64));
-        let roomy: Vec<Candidate> = candidates
+        let largest = open
             .iter()
-            .filter(|c| free_memory(&self.engines[c.engine]) >= share)
-            .take(size)
-            .copied()
-            .collect();
-        if roomy.len() < size {
-            return Err(Unroutable::NoRoom);
-        }
+            .map(|i| usable(&self.engines[*i]))
+            .fold(1.0, f64::max);
+        let least = (request.memory().0 as f64 / largest).ceil() as usize;
+        let most = match self.settings.policy {
+            Policy::LengthAware => (least * GROUP_SPREAD).min(open.len()),
+            _ => least,
+        };
+        let plans = (least..=most).filter_map(|size| self.plan_group_of(request, size, now));
+        let plans: Vec<Plan> = plans.collect();
+        let best = plans.into_iter().min_by_key(|plan| plan.estimate);
+        best.ok_or(Unroutable::NoRoom)
+    }
+
+    fn plan_group_of(&mut self, request: &Request, size: usize, now: Instant) -> Option<Plan> {
+        let part = Tokens(request.memory().0.div_ceil(size as u64));
         let unread = Tokens(request.prompt.0.div_ceil(size as u64));
-        let segments = roomy.iter().map(|c| Segment {
-            engine: self.engines[c.engine].facts.id.clone(),
-            memory: share,
+        let segment = Request {
+            prompt: unread,
+            max_output: part - unread,
+            prefixes: Vec::new(),
+            ..request.clone()
+        };
+        let mut candidates = self.candidates(&segment, MAX_GROUP_CANDIDATES, now);
+        candidates.retain(|c| free_memory(&self.engines[c.engine]) >= part);
+        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let members = candidates.get(..size)?;
+        let segments = members.iter().map(|member| Segment {
+            engine: self.engines[member.engine].facts.id.clone(),
+            memory: part,
             unread,
         });
-        let slowest = roomy.iter().map(|c| c.estimate / size as u32).max();
-        Ok(Plan {
+        let slowest = members.iter().map(|member| member.estimate).max();
+        Some(Plan {
             segments: segments.collect(),
             priority: self.priority(unread),
             estimate: slowest.unwrap_or_default(),
@@ -418,15 +439,6 @@
     }
 }
 
-fn group_size(
-    request: &Request,
-    sorted: &[Candidate],
-    usable: impl Fn(&Candidate) -> Tokens,
-) -> usize {
-    let smallest = sorted.iter().map(|c| usable(c).0).min().unwrap_or(1).max(1);
-    request.memory().0.div_ceil(smallest) as usize
-}
-
 fn free_memory(engine: &Engine) -> Tokens {
     engine.facts.memory - engine.load.reserved()
 }
--- a/crates/load/src/model/engine.rs
+++ b/crates/load/src/model/engine.rs
@@ -9,8 +9,8 @@
 
 use crate::model::PrefixCache;
 
-/// Prompt tokens read in one step at most.
-const STEP_TOKENS: u64 = 2_048;
+/// Prompt tokens read in one step at most: about what fits the shortest step.
+const STEP_TOKENS: u64 = 1_024;
 
 /// Shortest step.
 const SHORTEST_STEP: Duration = Duration::from_millis(20);
