--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -10,3 +10,4 @@
 
 pub mod experiment;
 pub mod model;
+pub mod standins;
