--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder.
-fn main() {}
+//! The operators' tool's program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cyclamengauge_cli::commands::run()
+}
--- a/crates/daemon/src/engines/attempt.rs
+++ b/crates/daemon/src/engines/attempt.rs
@@ -57,8 +57,11 @@
 
 /// Lets the members of a group read their segments, all at a time.
 async fn read_segments(node: &Rc<Node>, sending: &Sending) -> Result<(), Failure> {
-    let others = sending.plan.segments.iter().skip(1);
-    let reading = others.map(|segment| read_segment(node, sending, segment));
+    if sending.plan.segments.len() < 2 {
+        return Ok(());
+    }
+    let segments = sending.plan.segments.iter();
+    let reading = segments.map(|segment| read_segment(node, sending, segment));
     future::try_join_all(reading).await?;
     Ok(())
 }
