--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -31,7 +31,8 @@
 #[macro_export]
 macro_rules! checked {
     ($holds:expr, $name:literal, $($seen:tt)+) => {
-        if !$holds {
+        let holds: bool = $holds;
+        if !holds {
             $crate::invariant::violated($name, format_args!($($seen)+));
         }
     };
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -346,7 +346,7 @@
         for engine in 0..self.engines.len() {
             let heard_at = self.instances[instance].heard_at[engine];
             if self.now - heard_at >= POLL_AFTER {
-                self.to_engine(instance, engine, ToEngine::Report { instance });
+                self.send_to_engine(instance, engine, ToEngine::Report { instance });
             }
         }
         if self.now < self.last_arrival + RUN_OUT {
@@ -364,7 +364,7 @@
         for (job, instance) in broken {
             let attempt = attempt_of(job);
             let failure = Failure::Broken;
-            self.to_instance(
+            self.send_to_instance(
                 instance,
                 engine,
                 ToInstance::Failed { attempt, failure },
@@ -398,7 +398,7 @@
                     true => Reply::Granted,
                     false => Reply::Refused,
                 };
-                self.to_instance(
+                self.send_to_instance(
                     instance,
                     engine,
                     ToInstance::Reserved { attempt, reply },
@@ -408,11 +408,11 @@
             ToEngine::Release { instance, attempt } => {
                 let name = reservation_name(instance, attempt);
                 self.engines[engine].engine.release(&name);
-                self.to_instance(instance, engine, ToInstance::Released { attempt }, false);
+                self.send_to_instance(instance, engine, ToInstance::Released { attempt }, false);
                 self.start_step(engine);
             }
             ToEngine::Report { instance } => {
-                self.to_instance(instance, engine, ToInstance::Report, true);
+                self.send_to_instance(instance, engine, ToInstance::Report, true);
             }
         }
     }
@@ -434,7 +434,7 @@
             ToEngine::Report { instance } => (instance, ToInstance::Dead),
             ToEngine::Cancel { .. } => return,
         };
-        self.to_instance(instance, engine, answer, false);
+        self.send_to_instance(instance, engine, answer, false);
     }
 
     fn start_step(&mut self, engine: usize) {
@@ -487,7 +487,7 @@
         if done {
             self.engines[engine].owners.remove(&job);
         }
-        self.to_instance(instance, engine, message, true);
+        self.send_to_instance(instance, engine, message, true);
     }
 
     fn at_instance(
@@ -563,7 +563,7 @@
         }
         let (lead, job) = (*lead, job.clone());
         self.instances[instance].groups.remove(&attempt);
-        self.to_engine(instance, lead, ToEngine::Submit { instance, job });
+        self.send_to_engine(instance, lead, ToEngine::Submit { instance, job });
     }
 
     fn apply(&mut self, instance: usize, actions: Vec<Action>) {
@@ -574,7 +574,11 @@
                     self.instances[instance].groups.remove(&attempt);
                     for engine in engines {
                         let job = job_of(instance, attempt);
-                        self.to_engine(instance, engine_index(&engine), ToEngine::Cancel { job });
+                        self.send_to_engine(
+                            instance,
+                            engine_index(&engine),
+                            ToEngine::Cancel { job },
+                        );
                     }
                 }
                 Action::Reserve {
@@ -587,16 +591,16 @@
                         attempt,
                         memory: memory.get(),
                     };
-                    self.to_engine(instance, engine_index(&engine), message);
+                    self.send_to_engine(instance, engine_index(&engine), message);
                 }
                 Action::Release { attempt, engine } => {
                     let message = ToEngine::Release { instance, attempt };
-                    self.to_engine(instance, engine_index(&engine), message);
+                    self.send_to_engine(instance, engine_index(&engine), message);
                 }
                 Action::Renew { .. } => {}
                 Action::Probe(engine) => {
                     let message = ToEngine::Report { instance };
-                    self.to_engine(instance, engine_index(&engine), message);
+                    self.send_to_engine(instance, engine_index(&engine), message);
                 }
                 Action::Finish { request, outcome } => self.finish(request, outcome),
             }
@@ -623,7 +627,7 @@
         let segments = &sending.plan.segments;
         if let [only] = &segments[..] {
             let engine = engine_index(&only.engine);
-            self.to_engine(instance, engine, ToEngine::Submit { instance, job });
+            self.send_to_engine(instance, engine, ToEngine::Submit { instance, job });
             return;
         }
         let lead = engine_index(&segments[0].engine);
@@ -644,7 +648,7 @@
                 ..job.clone()
             };
             let engine = engine_index(&segment.engine);
-            self.to_engine(
+            self.send_to_engine(
                 instance,
                 engine,
                 ToEngine::Submit {
@@ -679,12 +683,18 @@
         self.push(at, Event::Tick(instance));
     }
 
-    fn to_engine(&mut self, instance: usize, engine: usize, message: ToEngine) {
+    fn send_to_engine(&mut self, instance: usize, engine: usize, message: ToEngine) {
         let at = self.now + self.delay(instance, engine);
         self.push(at, Event::ToEngine(engine, message));
     }
 
-    fn to_instance(&mut self, instance: usize, engine: usize, message: ToInstance, report: bool) {
+    fn send_to_instance(
+        &mut self,
+        instance: usize,
+        engine: usize,
+        message: ToInstance,
+        report: bool,
+    ) {
         let report = report.then(|| Box::new(self.engines[engine].snapshot(instance)));
         let at = self.now + self.delay(instance, engine);
         self.push(
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,6 +8,8 @@
 side in virtual time.
 */
 
+pub mod demo;
 pub mod experiment;
+pub mod harness;
 pub mod model;
 pub mod standins;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,24 +1,69 @@
 //! The load and experiment tool.
 
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use cyclamengauge_load::experiment::{self, compare_options};
+use cyclamengauge_load::{
+    demo::{self, demo_options},
+    experiment::{self, compare_options},
+    standins::{self, engine_options, plain_options, platform_options},
+};
 
 /// Load and experiment tool of cyclamengauge
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 enum Command {
+    /// Run an installation on loopback under load and failures
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo_options))] demo::DemoOptions),
     /// Run routing policies side by side in virtual time
     #[bpaf(command)]
     Compare(#[bpaf(external(compare_options))] experiment::CompareOptions),
+    /// Run a stand-in
+    #[bpaf(command("stand-in"))]
+    StandIn(#[bpaf(external(stand_in))] StandIn),
+    /// Run a daemon
+    #[bpaf(command)]
+    Daemon {
+        /// File with the settings
+        #[bpaf(long, argument("FILE"))]
+        config: PathBuf,
+    },
+}
+
+/// A stand-in
+#[derive(Bpaf, Clone, Debug)]
+enum StandIn {
+    /// An engine
+    #[bpaf(command)]
+    Engine(#[bpaf(external(engine_options))] standins::EngineOptions),
+    /// A plain service
+    #[bpaf(command)]
+    Plain(#[bpaf(external(plain_options))] standins::PlainOptions),
+    /// The platform's table service, object store and list of instances
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform_options))] standins::PlatformOptions),
 }
 
 fn main() -> ExitCode {
     match command().run() {
+        Command::Demo(options) => match std::env::current_exe() {
+            Ok(program) => demo::run(&options, &program),
+            Err(err) => {
+                eprintln!("demo: find this program: {err}");
+                ExitCode::FAILURE
+            }
+        },
         Command::Compare(options) => {
             println!("{}", experiment::compare(&options));
             ExitCode::SUCCESS
         }
+        Command::StandIn(StandIn::Engine(options)) => standins::run_engine(&options),
+        Command::StandIn(StandIn::Plain(options)) => standins::run_plain(&options),
+        Command::StandIn(StandIn::Platform(options)) => standins::run_platform(&options),
+        Command::Daemon { config } => {
+            let check = false;
+            cyclamengauge_daemon::run(&cyclamengauge_daemon::Options { config, check })
+        }
     }
 }
--- a/crates/load/src/standins/mod.rs
+++ b/crates/load/src/standins/mod.rs
@@ -14,6 +14,7 @@
 mod server;
 
 pub use engine::{EngineOptions, engine_options, run as run_engine};
+pub(crate) use engine::{prompt_seed, token_text};
 pub use plain::{PlainOptions, plain_options, run as run_plain};
 pub use platform::{PlatformOptions, platform_options, run as run_platform};
 
