--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -79,7 +79,8 @@
     pub(crate) attempts: BTreeMap<AttemptId, RequestId>,
     pub(crate) suspects: VecDeque<RequestId>,
     pub(crate) isolations: BTreeMap<EngineId, Isolation>,
-    pub(crate) deaths: VecDeque<Instant>,
+    /// Engines that died of late.
+    pub(crate) deaths: Vec<(EngineId, Instant)>,
     pub(crate) timers: timer::Service<Due>,
     pub(crate) actions: Vec<Action>,
     waiting: usize,
@@ -103,7 +104,7 @@
             attempts: BTreeMap::new(),
             suspects: VecDeque::new(),
             isolations: BTreeMap::new(),
-            deaths: VecDeque::new(),
+            deaths: Vec::new(),
             timers,
             actions: Vec::new(),
             waiting: 0,
--- a/crates/core/src/dispatch/suspects.rs
+++ b/crates/core/src/dispatch/suspects.rs
@@ -8,7 +8,7 @@
     dispatch::{Dispatcher, Due, flight::Phase},
     ids::{EngineId, RequestId},
     recovery::quarantine,
-    request::Reason,
+    request::{Fingerprint, Reason},
 };
 
 /// Longest wait for an engine to become empty for a suspect.
@@ -28,6 +28,10 @@
 /// run alone, so one more is needed than for others.
 const GROUP_CRASHES: u32 = 2;
 
+/// Crashes that prove a content guilty even amid a mass failure, which it may
+/// itself be the cause of.
+const MASS_CRASHES: u32 = 3;
+
 /// Time within which several deaths count as one event.
 const MASS_WINDOW: Duration = Duration::from_secs(2);
 
@@ -50,7 +54,7 @@
             .collect();
         self.ledger.engine_lost(engine);
         self.fleet.restarted(engine, now);
-        self.note_death(now);
+        self.note_death(engine, now);
         for id in on_engine {
             self.suspect(id, engine, now);
         }
@@ -60,13 +64,10 @@
     /// Looks for engines on which waiting suspects can run alone.
     pub(crate) fn pump_suspects(&mut self, now: Instant) {
         self.send_isolated(now);
-        while self.isolations.len() < self.most_isolations() {
-            let Some(id) = self.suspects.pop_front() else {
-                break;
-            };
-            if !self.isolate(id, now) {
-                self.suspects.push_front(id);
-                break;
+        for id in std::mem::take(&mut self.suspects) {
+            let room = self.isolations.len() < self.most_isolations();
+            if !room || !self.isolate(id, now) {
+                self.suspects.push_back(id);
             }
         }
         self.send_isolated(now);
@@ -108,18 +109,20 @@
         own.map(|(engine, _)| engine.clone()).collect()
     }
 
-    fn note_death(&mut self, now: Instant) {
-        self.deaths.push_back(now);
-        while self
-            .deaths
-            .front()
-            .is_some_and(|at| now - *at > MASS_WINDOW)
-        {
-            self.deaths.pop_front();
+    /// A restart that is noticed later is the same death.
+    fn note_death(&mut self, engine: &EngineId, now: Instant) {
+        self.deaths.retain(|(_, at)| now - *at <= MASS_WINDOW);
+        if self.deaths.iter().all(|(dead, _)| dead != engine) {
+            self.deaths.push((engine.clone(), now));
         }
     }
 
+    fn is_mass_failure(&self) -> bool {
+        self.deaths.len() >= MASS_DEATHS
+    }
+
     fn suspect(&mut self, id: RequestId, engine: &EngineId, now: Instant) {
+        let mass_failure = self.is_mass_failure();
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
@@ -131,27 +134,42 @@
         }
         flight.failures += 1;
         let content = flight.request.fingerprint;
-        let before = self.quarantine.crashes(&content, now);
-        let proven = flight.alone || (flight.is_group() && before >= GROUP_CRASHES);
-        let alone = proven && self.deaths.len() < MASS_DEATHS;
+        let crashes = self.quarantine.crashes(&content, now) + 1;
+        let group = flight.is_group();
+        let seen_alone = flight.alone || (group && crashes > GROUP_CRASHES);
+        let guilty = match mass_failure {
+            false => seen_alone,
+            true => seen_alone && crashes >= MASS_CRASHES,
+        };
         let others: Vec<EngineId> = flight.engines();
         self.cancel_on_survivors(id, others, engine);
         self.drop_attempt(id, now);
-        let verdict = self.quarantine.crashed(content, alone, now);
+        let verdict = self.quarantine.crashed(content, guilty, now);
         if verdict == quarantine::Verdict::Quarantined {
+            self.condemn(&content, now);
+        } else {
+            self.queue_suspect(id, crashes, now);
+        }
+    }
+
+    /// Gives up every request with the content, wherever it stands.
+    fn condemn(&mut self, content: &Fingerprint, now: Instant) {
+        let same = self.flights.iter();
+        let same = same.filter(|(_, flight)| &flight.request.fingerprint == content);
+        let ids: Vec<RequestId> = same.map(|(id, _)| *id).collect();
+        for id in ids {
             let again = Some(quarantine::QUARANTINE_TIME);
             self.give_up(id, Reason::Quarantined, again, now);
-        } else {
-            self.queue_suspect(id, now);
         }
     }
 
-    fn queue_suspect(&mut self, id: RequestId, now: Instant) {
+    fn queue_suspect(&mut self, id: RequestId, crashes: u32, now: Instant) {
+        let unlucky = self.is_mass_failure() && crashes == 1;
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
         };
         let group = flight.request.memory() > self.fleet.largest_memory(&flight.request.model);
-        if group || self.deaths.len() >= MASS_DEATHS {
+        if group || unlucky {
             self.replan(id, now);
             return;
         }
@@ -181,6 +199,9 @@
         let Some(flight) = self.flights.get(&id) else {
             return true;
         };
+        if self.is_isolated(&flight.request.fingerprint) {
+            return false;
+        }
         let memory = flight.request.memory();
         let model = flight.request.model.clone();
         let usable = self
@@ -203,6 +224,13 @@
         true
     }
 
+    /// Whether a copy of the content has an engine to itself already.
+    fn is_isolated(&self, content: &Fingerprint) -> bool {
+        let isolated = self.isolations.values();
+        let mut flights = isolated.filter_map(|i| self.flights.get(&i.request));
+        flights.any(|flight| &flight.request.fingerprint == content)
+    }
+
     fn send_isolated(&mut self, now: Instant) {
         let ready: Vec<(EngineId, RequestId)> = self
             .isolations
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use crate::{node::Node, operators};
+use crate::{control, node::Node, operators};
 
 /// Time between two reads while the table service answers.
 const PERIOD: Duration = Duration::from_secs(4);
@@ -27,8 +27,7 @@
             (false, 0) => (period * 2).min(PERIOD),
             (false, _) => (period * 2).clamp(PERIOD, LONGEST_PERIOD),
         };
-        let jittered = period.mul_f64(0.5 + fastrand::f64());
-        actix_rt::time::sleep(jittered).await;
+        actix_rt::time::sleep(control::pause(&node, period)).await;
     }
 }
 
--- a/crates/daemon/src/control/listing.rs
+++ b/crates/daemon/src/control/listing.rs
@@ -5,7 +5,7 @@
 use cyclamengauge_core::ids::EngineId;
 use cyclamengauge_schema::v1;
 
-use crate::node::Node;
+use crate::{control, node::Node};
 
 /// Time between two reads of the list.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -16,8 +16,7 @@
         if let Ok(list) = node.platform.instances().await {
             apply(&node, &list);
         }
-        let jittered = PERIOD.mul_f64(0.75 + fastrand::f64() / 2.0);
-        actix_rt::time::sleep(jittered).await;
+        actix_rt::time::sleep(control::pause(&node, PERIOD)).await;
     }
 }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,8 +8,10 @@
 side in virtual time.
 */
 
+pub mod capacity;
 pub mod demo;
 pub mod experiment;
 pub mod harness;
 pub mod model;
+pub mod slopes;
 pub mod standins;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,11 +1,16 @@
 //! The load and experiment tool.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use bpaf::Bpaf;
 use cyclamengauge_load::{
+    capacity::{self, capacity_options},
     demo::{self, demo_options},
     experiment::{self, compare_options},
+    slopes::{self, slopes_options},
     standins::{self, engine_options, plain_options, platform_options},
 };
 
@@ -19,6 +24,12 @@
     /// Run routing policies side by side in virtual time
     #[bpaf(command)]
     Compare(#[bpaf(external(compare_options))] experiment::CompareOptions),
+    /// Measure how costs grow with size
+    #[bpaf(command)]
+    Slopes(#[bpaf(external(slopes_options))] slopes::SlopesOptions),
+    /// Work out docs/CAPACITY.md from measured slopes
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity_options))] capacity::CapacityOptions),
     /// Run a stand-in
     #[bpaf(command("stand-in"))]
     StandIn(#[bpaf(external(stand_in))] StandIn),
@@ -47,13 +58,9 @@
 
 fn main() -> ExitCode {
     match command().run() {
-        Command::Demo(options) => match std::env::current_exe() {
-            Ok(program) => demo::run(&options, &program),
-            Err(err) => {
-                eprintln!("demo: find this program: {err}");
-                ExitCode::FAILURE
-            }
-        },
+        Command::Demo(options) => with_program(|program| demo::run(&options, program)),
+        Command::Capacity(options) => capacity::run(&options),
+        Command::Slopes(options) => with_program(|program| slopes::run(&options, program)),
         Command::Compare(options) => {
             println!("{}", experiment::compare(&options));
             ExitCode::SUCCESS
@@ -67,3 +74,14 @@
         }
     }
 }
+
+/// Runs something that starts this program again for its processes.
+fn with_program(run: impl FnOnce(&Path) -> ExitCode) -> ExitCode {
+    match std::env::current_exe() {
+        Ok(program) => run(&program),
+        Err(err) => {
+            eprintln!("find this program: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
