Watch a subset of the engines and pace control traffic

Cause: the first capacity table showed control traffic of 2.3 MB/s for reports and 82 % of a core for watching at the target, as every daemon asked every engine; together with exchanges it was over 4 KB/s even today while idle. Change: an instance watches 32 engines of each model, half near, chosen by ranks that all agree on; three questions a second to the engine silent for longest; exchanges every second.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -26,8 +26,9 @@
 /// Longest ejection.
 const LONGEST_EJECTION: Duration = Duration::from_secs(300);
 
-/// Time after which a target without a report gets nothing new.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Time after which a target without a report gets nothing new, even if no
+/// probe has failed.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Whether a target may receive new work, and if not, why.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -8,6 +8,7 @@
     request::PrefixHash,
     routing::{
         affinity::{EngineIndex, Index},
+        hash,
         load::{Load, Priority, Report},
         mix::Mix,
     },
@@ -15,7 +16,7 @@
 };
 
 /// Prefixes remembered at most.
-const INDEX_CAPACITY: usize = 20_000;
+pub const INDEX_CAPACITY: usize = 20_000;
 
 /// Age of a load report when it arrives.
 const REPORT_LAG: Duration = Duration::from_millis(50);
@@ -345,7 +346,7 @@
             .mix
             .long_engines(open.len(), speed, self.settings.instances, now);
         let mut ranked = open.clone();
-        ranked.sort_by_key(|index| rank(&self.engines[*index].facts.id));
+        ranked.sort_by_key(|index| hash::mix(hash::text(self.engines[*index].facts.id.as_str())));
         for (position, index) in ranked.into_iter().enumerate() {
             self.engines[index].long_home = position < count;
         }
@@ -382,11 +383,3 @@
     /// The prefix is cached no more.
     Evicted(PrefixHash),
 }
-
-/// FNV-1a, which is the same in every process.
-fn rank(id: &EngineId) -> u64 {
-    let start = 0xcbf2_9ce4_8422_2325;
-    id.as_str().bytes().fold(start, |hash: u64, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -9,12 +9,15 @@
 
 mod affinity;
 mod fleet;
+mod hash;
 mod load;
 mod mix;
 mod plan;
+mod subset;
 
 pub use affinity::{EngineIndex, Index};
-pub use fleet::{CacheEvent, Engine, EngineFacts, Fleet, FleetSettings, Policy};
+pub use fleet::{CacheEvent, Engine, EngineFacts, Fleet, FleetSettings, INDEX_CAPACITY, Policy};
 pub use load::{Backlog, LEVELS, Load, Priority, Report};
 pub use mix::Mix;
 pub use plan::{Choice, Plan, Segment, Unroutable};
+pub use subset::{MAX_WATCHED, Watchable, subset};
--- a/crates/daemon/src/engines/reports.rs
+++ b/crates/daemon/src/engines/reports.rs
@@ -4,6 +4,7 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use cyclamengauge_core::{
+    clock::Instant,
     dispatch::Probed,
     ids::EngineId,
     intent,
@@ -16,12 +17,13 @@
 
 use crate::{engines, http, node::Node};
 
-/// Silence of an engine after which it is asked for a report. Engines with
+/// Silence of an engine after which it may be asked for a report. Engines with
 /// traffic send reports along with their answers.
-const POLL_AFTER: Duration = Duration::from_millis(2_000);
+const POLL_AFTER: Duration = Duration::from_secs(2);
 
-/// Time between two looks for silent engines.
-const POLL_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two questions to silent engines, which bounds their traffic
+/// whatever the number of engines.
+const POLL_PERIOD: Duration = Duration::from_millis(333);
 
 /// Time for an engine to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -29,21 +31,29 @@
 /// Largest report.
 const MAX_REPORT_BYTES: usize = 256 * 1024;
 
-/// Asks silent engines for reports, for the life of the daemon.
+/// Asks engines for reports, for the life of the daemon: new ones at once, then
+/// one at a time the one that has been silent for longest.
 pub async fn poll_reports(node: Rc<Node>) {
-    let mut asked: BTreeMap<EngineId, std::time::Instant> = BTreeMap::new();
+    let mut asked: BTreeMap<EngineId, Instant> = BTreeMap::new();
     loop {
         let engines: Vec<EngineId> = node.directory.borrow().engines.keys().cloned().collect();
-        for engine in engines {
-            let heard = node.heard_from(&engine);
-            let silent = heard.is_none_or(|ago| ago >= POLL_AFTER);
-            let due = asked
-                .get(&engine)
-                .is_none_or(|at| at.elapsed() >= PROBE_TIMEOUT);
-            if silent && due {
-                asked.insert(engine.clone(), std::time::Instant::now());
-                actix_rt::spawn(probe(Rc::clone(&node), engine));
-            }
+        asked.retain(|engine, _| engines.contains(engine));
+        let now = node.clock.now();
+        let (known, new): (Vec<_>, Vec<_>) = engines
+            .into_iter()
+            .partition(|engine| asked.contains_key(engine));
+        for engine in new {
+            asked.insert(engine.clone(), now);
+            actix_rt::spawn(probe(Rc::clone(&node), engine));
+        }
+        let silence = |engine: &EngineId| {
+            let heard = node.heard_from(engine).unwrap_or(Duration::MAX);
+            heard.min(now - asked[engine])
+        };
+        let quietest = known.into_iter().max_by_key(|engine| silence(engine));
+        if let Some(engine) = quietest.filter(|engine| silence(engine) >= POLL_AFTER) {
+            asked.insert(engine.clone(), now);
+            actix_rt::spawn(probe(Rc::clone(&node), engine));
         }
         actix_rt::time::sleep(POLL_PERIOD).await;
     }
--- a/crates/daemon/src/node/configure.rs
+++ b/crates/daemon/src/node/configure.rs
@@ -31,12 +31,26 @@
 
     fn put_in_force(self: &Rc<Self>) {
         let declaration = self.declaration();
-        *self.directory.borrow_mut() = Directory::new(&declaration);
+        let watched = self.watched(&declaration);
+        *self.directory.borrow_mut() = Directory::new(&declaration, &watched);
         self.configure_dispatcher(&declaration);
-        self.declare_engines(&declaration);
+        self.declare_engines();
         self.timer_changed.notify_waiters();
     }
 
+    /// The engines that this instance watches and routes to.
+    fn watched(&self, declaration: &v1::Declaration) -> Vec<ids::EngineId> {
+        let engines = declaration.engines.iter().map(|engine| routing::Watchable {
+            id: ids::EngineId::new(&engine.name),
+            model: ids::ModelId::new(&engine.model),
+            data_centre: ids::DataCentreId::new(&engine.data_centre),
+        });
+        let engines: Vec<routing::Watchable> = engines.collect();
+        let instance = ids::InstanceId::new(&self.settings.instance);
+        let data_centre = ids::DataCentreId::new(&self.settings.data_centre);
+        routing::subset(&instance, &data_centre, &engines)
+    }
+
     fn declaration(&self) -> v1::Declaration {
         let current = self.current.borrow();
         let accepted = current.accepted();
@@ -63,17 +77,16 @@
         self.dispatcher.borrow_mut().configure(settings, accounts);
     }
 
-    fn declare_engines(&self, declaration: &v1::Declaration) {
+    fn declare_engines(&self) {
         let now = self.clock.now();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        for engine in &declaration.engines {
+        let directory = self.directory.borrow();
+        for engine in directory.engines.values().map(|entry| &entry.declared) {
             let standby = engine.role() == v1::EngineRole::Standby;
             let facts = self.facts(engine);
             dispatcher.declare_engine(facts, engine.drain || standby, now);
         }
-        let declared =
-            |id: &ids::EngineId| declaration.engines.iter().any(|e| e.name == id.as_str());
-        dispatcher.keep_engines(declared, now);
+        dispatcher.keep_engines(|id| directory.engines.contains_key(id), now);
     }
 
     fn facts(&self, engine: &v1::Engine) -> routing::EngineFacts {
--- a/crates/daemon/src/node/directory.rs
+++ b/crates/daemon/src/node/directory.rs
@@ -1,6 +1,6 @@
 //! What the configuration in force says, prepared for look-up.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use cyclamengauge_core::ids::{AccountId, EngineId};
 use cyclamengauge_schema::v1;
@@ -41,7 +41,7 @@
 pub struct Directory {
     /// Accounts by the binary hash of each of their keys.
     accounts: Vec<([u8; 32], AccountEntry)>,
-    /// Engines by name.
+    /// Watched engines by name.
     pub engines: HashMap<EngineId, EngineEntry>,
     /// Services by name.
     pub services: HashMap<String, ServiceEntry>,
@@ -50,8 +50,9 @@
 }
 
 impl Directory {
-    /// Prepares a declaration.
-    pub fn new(declaration: &v1::Declaration) -> Self {
+    /// Prepares a declaration; of its engines only the watched ones.
+    pub fn new(declaration: &v1::Declaration, watched: &[EngineId]) -> Self {
+        let watched: HashSet<&EngineId> = watched.iter().collect();
         let engines = declaration.engines.iter().map(|engine| {
             let entry = EngineEntry {
                 url: format!("http://{}", engine.address),
@@ -59,6 +60,7 @@
             };
             (EngineId::new(&engine.name), entry)
         });
+        let engines = engines.filter(|(id, _)| watched.contains(id));
         let services = declaration.services.iter().map(|service| {
             let entry = ServiceEntry {
                 declared: service.clone(),
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -14,7 +14,7 @@
 };
 
 /// Time between two exchanges without news.
-const PERIOD: Duration = Duration::from_millis(500);
+const PERIOD: Duration = Duration::from_secs(1);
 
 /// Peers told at once about a new configuration.
 const FANOUT: usize = 4;
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -1,7 +1,7 @@
 /*!
 Control messages between the instances.
 
-Every half second an instance exchanges what it knows with one peer in turn;
+Every second an instance exchanges what it knows with one peer in turn;
 after a new configuration it tells all it can reach within one fan-out at once.
 A message carries a MAC under a key that the instances share.
 */
--- a/crates/load/src/capacity/lines.rs
+++ b/crates/load/src/capacity/lines.rs
@@ -1,12 +1,20 @@
 //! The arithmetic: one line for each cost of each role.
 
+use cyclamengauge_core::routing;
+
 use crate::{capacity::Size, slopes::Slopes};
 
 /// Exchanges a second that an instance starts; it answers as many.
-const EXCHANGES_PER_S: f64 = 2.0;
+const EXCHANGES_PER_S: f64 = 1.0;
+
+/// Engines of one model that an instance watches at most.
+const WATCHED: f64 = routing::MAX_WATCHED as f64;
+
+/// Models that one instance serves.
+const MODELS_PER_DAEMON: f64 = 1.0;
 
-/// Seconds of silence after which an engine is asked for a report.
-const POLL_PERIOD_S: f64 = 2.0;
+/// Questions a second that an instance asks silent engines.
+const POLLS_PER_S: f64 = 3.0;
 
 /// Control processor time for a daemon, in per cent of a core.
 const CORE_LIMIT_PERCENT: f64 = 4.6;
@@ -54,6 +62,18 @@
 /// Seconds for which a group's memory is held.
 const GROUP_TIME_S: f64 = 15.0;
 
+/// Mean length of their prompts, in tokens.
+const GROUP_TOKENS: f64 = 655_000.0;
+
+/// KV memory of an engine, in tokens.
+const ENGINE_TOKENS: f64 = 450_000.0;
+
+/// Mean prompt of Moosach-Isental's mix, in tokens.
+const PROMPT_TOKENS: f64 = 13_600.0;
+
+/// Prompt tokens that an engine reads in a second.
+const PREFILL_TOKENS_PER_S: f64 = 50_000.0;
+
 /// Engines in a group.
 const GROUP_SIZE: f64 = 4.0;
 
@@ -101,19 +121,29 @@
     Ok(all)
 }
 
+/// Engines that an average daemon watches.
+fn watched(size: &Size) -> f64 {
+    size.engines.min(WATCHED * MODELS_PER_DAEMON)
+}
+
 fn router(size: &Size, slopes: &Slopes, all: &mut Vec<Line>) -> anyhow::Result<()> {
     let target = slopes.get("target_bytes")?;
+    let account = slopes.get("account_bytes")?;
+    let prefix = slopes.get("prefix_bytes")?;
     let resident = slopes.get("idle_resident_mb")?;
+    let prefixes = routing::INDEX_CAPACITY as f64;
+    let kept =
+        size.engines * target.slope + size.accounts * account.slope + prefixes * prefix.slope;
     all.push(Line {
         role: "router",
         what: "memory for control, MB",
         how: format!(
-            "{:.0} MB empty + {:.0} engines x {:.0} bytes",
-            resident.base, size.engines, target.slope
+            "{:.0} MB empty + {:.0} declared engines x {:.0} bytes + {:.0} accounts x {:.0} bytes + {prefixes:.0} prefixes x {:.0} bytes",
+            resident.base, size.engines, target.slope, size.accounts, account.slope, prefix.slope
         ),
-        value: resident.base + size.engines * target.slope / 1e6,
+        value: resident.base + kept / 1e6,
         limit: Some(MEMORY_LIMIT_MB),
-        mechanism: "every daemon knows every engine; the target needs a subset",
+        mechanism: "a bounded index of prefixes; each engine is counted as if it were watched",
     });
     let decision = slopes.get("decision_us")?;
     let dispatch = slopes.get("dispatch_us")?;
@@ -132,45 +162,40 @@
         limit: Some(CORE_LIMIT_PERCENT),
         mechanism: "32 candidates at most for each decision",
     });
-    let report = slopes.get("report_bytes")?;
-    let polled = polled_engines(size);
-    all.push(Line {
-        role: "router",
-        what: "reports asked for, bytes/s",
-        how: format!("{polled:.0} silent engines x {:.0} bytes / {POLL_PERIOD_S} s", report.base),
-        value: polled * report.base / POLL_PERIOD_S,
-        limit: Some(TRAFFIC_LIMIT),
-        mechanism: "reports come along with answers; only silent engines are asked, and the target needs a subset",
-    });
     let idle = slopes.get("idle_core_percent")?;
     all.push(Line {
         role: "router",
-        what: "watching idle engines, % of a core",
+        what: "watching engines and peers, % of a core",
         how: format!(
             "{:.2} + {:.0} engines x {:.4}",
-            idle.base, size.engines, idle.slope
+            idle.base,
+            watched(size),
+            idle.slope
         ),
-        value: idle.base + size.engines * idle.slope,
+        value: idle.base + watched(size) * idle.slope,
         limit: Some(CORE_LIMIT_PERCENT),
-        mechanism: "every daemon asks every silent engine; the target needs a subset",
+        mechanism: "a subset of 32 engines for each model",
     });
-    Ok(())
-}
-
-/// Engines that a daemon does not hear from within a poll period: the chance
-/// that none of its requests went there, each bringing two reports.
-fn polled_engines(size: &Size) -> f64 {
-    let reports = size.requests_per_daemon() * POLL_PERIOD_S * 2.0;
-    size.engines * (-reports / size.engines).exp()
+    traffic(size, slopes, all)
 }
 
-fn peers(size: &Size, slopes: &Slopes, all: &mut Vec<Line>) -> anyhow::Result<()> {
+/// All control traffic together, as the limit is for its sum.
+fn traffic(size: &Size, slopes: &Slopes, all: &mut Vec<Line>) -> anyhow::Result<()> {
+    let report = slopes.get("report_bytes")?;
+    let polls = (watched(size) / 2.0).min(POLLS_PER_S);
+    let asking = polls * report.base;
+    all.push(Line {
+        role: "router",
+        what: "reports asked for while idle, bytes/s",
+        how: format!("{polls} questions/s x {:.0} bytes", report.base),
+        value: asking,
+        limit: Some(TRAFFIC_LIMIT),
+        mechanism: "three questions a second, to the engine silent for longest; busy engines send reports with their answers",
+    });
     let bytes = slopes.get("exchange_bytes")?;
-    let time = slopes.get("exchange_us")?;
-    // An engine is named only while this instance's work waits there; messages
-    // name 64 engines at most.
-    let named = (size.requests_per_daemon() * 0.3).min(64.0);
+    let named = named(size);
     let rate = 2.0 * EXCHANGES_PER_S;
+    let exchanging = rate * bytes.at(named);
     all.push(Line {
         role: "disseminator",
         what: "exchanges without news, bytes/s",
@@ -178,10 +203,31 @@
             "{rate} exchanges/s x ({:.0} + {named:.0} x {:.1}) bytes",
             bytes.base, bytes.slope
         ),
-        value: rate * bytes.at(named),
+        value: exchanging,
         limit: Some(TRAFFIC_LIMIT),
-        mechanism: "one peer in turn every half second, whatever their number",
+        mechanism: "one peer in turn every second, whatever their number",
     });
+    all.push(Line {
+        role: "router",
+        what: "both together, bytes/s",
+        how: format!("{asking:.0} + {exchanging:.0}"),
+        value: asking + exchanging,
+        limit: Some(TRAFFIC_LIMIT),
+        mechanism: "as above; a daemon with traffic asks less than this",
+    });
+    Ok(())
+}
+
+/// Engines named in an exchange: those on which this instance's prompts wait,
+/// each for the time to first token, and 32 at most.
+fn named(size: &Size) -> f64 {
+    (size.requests_per_daemon() * 0.3).min(WATCHED)
+}
+
+fn peers(size: &Size, slopes: &Slopes, all: &mut Vec<Line>) -> anyhow::Result<()> {
+    let time = slopes.get("exchange_us")?;
+    let named = named(size);
+    let rate = 2.0 * EXCHANGES_PER_S;
     all.push(Line {
         role: "disseminator",
         what: "exchanges, % of a core",
@@ -209,11 +255,11 @@
         role: "disseminator",
         what: "in force everywhere, s",
         how: format!(
-            "ln {:.0} / ln(1 + {FANOUT} x {:.2}) = {rounds:.1} rounds x {HOP_S} s, and 3 exchanges of 0.5 s for stragglers",
+            "ln {:.0} / ln(1 + {FANOUT} x {:.2}) = {rounds:.1} rounds x {HOP_S} s, and 3 exchanges of 1 s for stragglers",
             size.daemons,
             1.0 - LOSS
         ),
-        value: rounds * HOP_S + 1.5,
+        value: rounds * HOP_S + 3.0,
         limit: Some(IN_FORCE_LIMIT_S),
         mechanism: "news is pushed to 4 peers at once; exchanges in turn reach the rest",
     });
@@ -336,18 +382,19 @@
 
 fn groups(size: &Size, all: &mut Vec<Line>) {
     let per_s = size.requests_per_s * GROUP_SHARE;
-    let held = per_s * GROUP_TIME_S * GROUP_SIZE;
+    let held = per_s * GROUP_TIME_S * GROUP_TOKENS;
     all.push(Line {
         role: "data plane",
-        what: "engines held by groups, % of the fleet",
+        what: "KV memory held by groups, % of the fleet's",
         how: format!(
-            "{per_s:.2} groups/s x {GROUP_TIME_S} s x {GROUP_SIZE} engines / {:.0}",
+            "{per_s:.2} groups/s x {GROUP_TIME_S} s x {GROUP_TOKENS:.0} tokens / ({:.0} x {ENGINE_TOKENS:.0})",
             size.engines
         ),
-        value: held / size.engines * 100.0,
+        value: held / (size.engines * ENGINE_TOKENS) * 100.0,
         limit: Some(100.0),
         mechanism: "memory reserved engine by engine in one order; a refusal gives all back",
     });
+    reading(size, all);
     // Two daemons conflict if both choose an engine within the stale time.
     let chosen = per_s * GROUP_SIZE * STALE_S / size.engines;
     let conflict = 1.0 - (1.0 - chosen.min(1.0)).powf(GROUP_SIZE);
@@ -363,3 +410,19 @@
         mechanism: "choice among the emptiest at random; a conflict costs one more round",
     });
 }
+
+/// Reading the prompts, if the mix stayed as it is and nothing were cached.
+fn reading(size: &Size, all: &mut Vec<Line>) {
+    let wanted = size.requests_per_s * PROMPT_TOKENS;
+    all.push(Line {
+        role: "engines",
+        what: "reading prompts, % of the fleet",
+        how: format!(
+            "{:.0} requests/s x {PROMPT_TOKENS:.0} tokens / ({:.0} engines x {PREFILL_TOKENS_PER_S:.0} tokens/s)",
+            size.requests_per_s, size.engines
+        ),
+        value: wanted / (size.engines * PREFILL_TOKENS_PER_S) * 100.0,
+        limit: Some(100.0),
+        mechanism: "cached prefixes and the mix of lengths; no part of the daemon can carry it",
+    });
+}
--- a/crates/load/src/slopes/memory.rs
+++ b/crates/load/src/slopes/memory.rs
@@ -5,7 +5,7 @@
 use cyclamengauge_core::{
     admission,
     clock::Instant,
-    ids::AccountId,
+    ids::{AccountId, EngineId},
     recovery::quarantine::Quarantine,
     request::{Fingerprint, PrefixHash},
     routing,
@@ -64,7 +64,12 @@
                 .iter()
                 .map(|engine| (engine.name.clone(), report(&engine.name)))
                 .collect();
-            let directory = Directory::new(&declaration);
+            let watched: Vec<EngineId> = declaration
+                .engines
+                .iter()
+                .map(|e| EngineId::new(&e.name))
+                .collect();
+            let directory = Directory::new(&declaration, &watched);
             (decisions::dispatcher(n), declaration, reports, directory)
         },
     )
@@ -94,7 +99,7 @@
                 max_concurrent: 1,
             });
             gate.set_accounts(limits.collect());
-            let directory = Directory::new(&declaration);
+            let directory = Directory::new(&declaration, &[]);
             (gate, declaration, directory)
         },
     )
