Split long prompts and let each instance prefer its own engines

Cause: p95 of prompts of 100k to 400k was worse than least-tokens at 0.8 load, and short requests of several instances met on the same engines, as reports are stale between first and last tokens. Change: prompts from 100,000 tokens are split over up to 4 engines if that is 1.3 times faster, always if they need 0.4 of an engine's memory; each engine is preferred by one instance in turn, and others need to gain 20 ms there; a request that waits for room is refused as soon as its deadline is out of reach.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -588,6 +588,7 @@
     }
 }
 
-fn answer_time(request: &Request) -> Duration {
+/// Expected time from the first token to the last.
+pub(crate) fn answer_time(request: &Request) -> Duration {
     TOKEN_TIME.mul_f64(request.max_output.0 as f64 * EXPECTED_OUTPUT)
 }
--- a/crates/core/src/dispatch/groups.rs
+++ b/crates/core/src/dispatch/groups.rs
@@ -4,16 +4,19 @@
 
 use crate::{
     clock::Instant,
-    dispatch::{Action, Dispatcher, Due, flight::Phase},
+    dispatch::{Action, Dispatcher, Due, dispatcher, flight::Phase},
     ids::{AttemptId, EngineId, RequestId},
     recovery::reservation::{Order, Progress, Reply},
-    request::Reason,
+    request::{Reason, Request},
     routing::Unroutable,
 };
 
 /// Shortest pause before a group is planned anew.
 const ROOM_RETRY: Duration = Duration::from_millis(100);
 
+/// When a caller may come back whose request waited for room in vain.
+const RETRY_AFTER_WAITING: Duration = Duration::from_secs(10);
+
 impl Dispatcher {
     /// Takes in an engine's answer to a reservation.
     pub fn reserved(
@@ -81,19 +84,25 @@
             return;
         }
         let request = flight.request.clone();
-        match self.fleet.plan(&request, now) {
-            Ok(plan) => {
-                self.leave_waiting();
-                self.start(id, plan, now);
-            }
+        let planned = self.fleet.plan(&request, now);
+        self.leave_waiting();
+        match planned {
             Err(Unroutable::TooLong) => self.give_up(id, Reason::TooLong, None, now),
-            Err(Unroutable::NoRoom | Unroutable::NoEngine) => {
-                self.leave_waiting();
-                self.wait_for_room(id, now);
+            _ if self.is_hopeless(&request, now) => {
+                let again = Some(RETRY_AFTER_WAITING);
+                self.give_up(id, Reason::DeadlineUnreachable, again, now);
             }
+            Ok(plan) => self.start(id, plan, now),
+            Err(Unroutable::NoRoom | Unroutable::NoEngine) => self.wait_for_room(id, now),
         }
     }
 
+    /// Whether the deadline would pass even if all engines were idle from now on.
+    fn is_hopeless(&self, request: &Request, now: Instant) -> bool {
+        let least = self.fleet.least_time(request) + dispatcher::answer_time(request);
+        now + least > request.deadline
+    }
+
     pub(crate) fn push_order(&mut self, attempt: AttemptId, order: Order) {
         self.actions.push(match order {
             Order::Reserve(engine, memory) => Action::Reserve {
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -83,6 +83,8 @@
         pub short_weight: f64,
         /// Instances that share the traffic, this one included; at least 1.
         pub instances: u32,
+        /// Place of this instance among them, from 0.
+        pub index: u32,
         /// Seed of the choice between equals; differs between instances.
         pub seed: u64,
     }
@@ -110,6 +112,7 @@
             policy: Policy::LengthAware,
             short_weight: 0.5,
             instances: 1,
+            index: 0,
             seed: 1,
         }
     }
@@ -128,6 +131,9 @@
     pub isolated: bool,
     /// Whether long prompts are to come here first.
     pub long_home: bool,
+    /// Whether this instance, of all that share the engine, should come here
+    /// first with short requests.
+    pub preferred: bool,
     next_cache_event: u64,
 }
 
@@ -207,6 +213,7 @@
                     open: false,
                     isolated: false,
                     long_home: false,
+                    preferred: false,
                     next_cache_event: 0,
                 });
             }
@@ -349,6 +356,8 @@
         ranked.sort_by_key(|index| hash::mix(hash::text(self.engines[*index].facts.id.as_str())));
         for (position, index) in ranked.into_iter().enumerate() {
             self.engines[index].long_home = position < count;
+            let turn = position as u32 % self.settings.instances.max(1);
+            self.engines[index].preferred = turn == self.settings.index;
         }
     }
 
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -12,7 +12,7 @@
         load::{Backlog, Priority},
         mix::FIRST_LONG_LEVEL,
     },
-    units::Tokens,
+    units::{Tokens, TokensPerSecond},
 };
 
 /// Engines considered for one decision; more are sampled down to this number,
@@ -39,6 +39,11 @@
 /// to an engine outside the long ones' own, at a short weight of 1.
 const SPILL_SHARE: f64 = 0.1;
 
+/// Time that a short request must gain on an engine which another instance
+/// prefers. Reports are stale; instances that come to different engines first
+/// collide less.
+const PREFERENCE: Duration = Duration::from_millis(20);
+
 /// Alternatives named in the log.
 const RUNNERS_UP: usize = 2;
 
@@ -48,6 +53,21 @@
 /// Most engines in a group, as a multiple of those that its memory needs.
 const GROUP_SPREAD: usize = 3;
 
+/// Shortest prompt that is split though one engine could hold it.
+const SPLIT_FROM: Tokens = Tokens(100_000);
+
+/// Share of an engine's memory from which a request is large for it.
+const LARGE_SHARE: f64 = 0.4;
+
+/// Most engines over which such a prompt is split.
+const MAX_SPLIT: usize = 4;
+
+/// Factor by which a split must be faster.
+const SPLIT_GAIN: f64 = 1.3;
+
+/// Reading that each further engine of a group adds, as a share of a segment.
+const EXCHANGE_SHARE: f64 = 0.05;
+
 /// Share of a member's memory that a group's segment may fill.
 const SEGMENT_SHARE: f64 = 0.95;
 
@@ -156,7 +176,44 @@
         }
         let mut candidates = self.candidates(request, MAX_CANDIDATES, now);
         candidates.retain(|c| self.engines[c.engine].facts.memory >= request.memory());
-        self.pick(request, candidates)
+        let single = self.pick(request, candidates)?;
+        if self.settings.policy != Policy::LengthAware || request.prompt < SPLIT_FROM {
+            return Ok(single);
+        }
+        let split = self.best_group(request, 2, MAX_SPLIT.min(open), now);
+        if self.is_large(request) {
+            // On a single engine it would wait for nearly all the memory while
+            // shorter requests keep taking it.
+            let roomy = self.has_room(&single);
+            return split.or(roomy.then_some(single)).ok_or(Unroutable::NoRoom);
+        }
+        let gains = |split: &Plan| split.estimate.mul_f64(SPLIT_GAIN) < single.estimate;
+        Ok(split.filter(gains).unwrap_or(single))
+    }
+
+    fn is_large(&self, request: &Request) -> bool {
+        let largest = self.largest_memory(&request.model);
+        request.memory().0 as f64 > largest.0 as f64 * LARGE_SHARE
+    }
+
+    fn has_room(&self, plan: &Plan) -> bool {
+        let room = |segment: &Segment| {
+            let engine = self.engine(&segment.engine);
+            engine.is_some_and(|engine| free_memory(engine) >= segment.memory)
+        };
+        plan.segments.iter().all(room)
+    }
+
+    /// Time to first token if all engines were idle.
+    pub fn least_time(&self, request: &Request) -> Duration {
+        let open = self.open.get(&request.model).into_iter().flatten();
+        let rates = open.map(|index| self.engines[*index].facts.prefill.0);
+        let fastest = TokensPerSecond(rates.fold(1.0, f64::max));
+        let size = match self.is_large(request) || request.prompt >= SPLIT_FROM {
+            true => MAX_SPLIT,
+            false => 1,
+        };
+        fastest.time_for(segment_tokens(request.prompt, size))
     }
 
     /// Notes an admitted request in the measured mix, with what its plan
@@ -320,7 +377,7 @@
     }
 
     fn share_above(&self, unread: Tokens, speed: f64, now: Instant) -> f64 {
-        let fleet = crate::units::TokensPerSecond(speed);
+        let fleet = TokensPerSecond(speed);
         let priority = Priority::for_prefill(unread);
         let share = self
             .mix
@@ -382,7 +439,12 @@
             }
             return weight * SPILL_SHARE * unread.0 as f64 / engine.facts.prefill.0;
         }
-        weight * step
+        let elsewhere = if engine.preferred {
+            0.0
+        } else {
+            PREFERENCE.as_secs_f64()
+        };
+        weight * step + elsewhere
     }
 
     /// Spreads a request over as many engines as give the earliest first token,
@@ -403,18 +465,35 @@
             Policy::LengthAware => (least * GROUP_SPREAD).min(open.len()),
             _ => least,
         };
-        let plans = (least..=most).filter_map(|size| self.plan_group_of(request, size, now));
-        let plans: Vec<Plan> = plans.collect();
-        let best = plans.into_iter().min_by_key(|plan| plan.estimate);
+        let best = self.best_group(request, least, most, now);
         best.ok_or(Unroutable::NoRoom)
     }
 
+    /// The group of `least` to `most` engines with the earliest first token.
+    fn best_group(
+        &mut self,
+        request: &Request,
+        least: usize,
+        most: usize,
+        now: Instant,
+    ) -> Option<Plan> {
+        let mut best: Option<Plan> = None;
+        for size in least..=most {
+            let plan = self.plan_group_of(request, size, now);
+            let better = |p: &Plan| best.as_ref().is_none_or(|b| p.estimate < b.estimate);
+            if plan.as_ref().is_some_and(better) {
+                best = plan;
+            }
+        }
+        best
+    }
+
     fn plan_group_of(&mut self, request: &Request, size: usize, now: Instant) -> Option<Plan> {
         let part = Tokens(request.memory().0.div_ceil(size as u64));
-        let unread = Tokens(request.prompt.0.div_ceil(size as u64));
+        let unread = segment_tokens(request.prompt, size);
         let segment = Request {
             prompt: unread,
-            max_output: part - unread,
+            max_output: part - unread.min(part),
             prefixes: Vec::new(),
             ..request.clone()
         };
@@ -439,6 +518,14 @@
     }
 }
 
+/// Prompt tokens that each of `size` engines reads: its part, and more for the
+/// exchange with each of the others.
+fn segment_tokens(prompt: Tokens, size: usize) -> Tokens {
+    let part = prompt.0.div_ceil(size as u64) as f64;
+    let exchange = 1.0 + EXCHANGE_SHARE * (size - 1) as f64;
+    Tokens((part * exchange) as u64)
+}
+
 fn free_memory(engine: &Engine) -> Tokens {
     engine.facts.memory - engine.load.reserved()
 }
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -18,6 +18,13 @@
 
 impl Eq for Tokens {}
 
+impl Tokens {
+    /// The smaller of two numbers of tokens.
+    pub fn min(self, other: Self) -> Self {
+        Self(self.0.min(other.0))
+    }
+}
+
 impl PartialOrd<u64> for Tokens {
     fn partial_cmp(&self, other: &u64) -> Option<std::cmp::Ordering> {
         self.0.partial_cmp(other)
--- a/crates/daemon/src/node/configure.rs
+++ b/crates/daemon/src/node/configure.rs
@@ -67,6 +67,7 @@
                 policy: policy_of(policy.kind()),
                 short_weight: policy.short_weight,
                 instances: self.instances(),
+                index: self.index(),
                 seed: self.incarnation,
             },
             max_in_flight: limits.max_in_flight as usize,
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -208,6 +208,13 @@
             && self.callers.borrow().is_empty()
     }
 
+    /// Place of this instance among all, in the order of their names.
+    pub fn index(&self) -> u32 {
+        let own = &self.settings.instance;
+        let before = self.settings.peers.iter().filter(|p| &p.instance < own);
+        before.count() as u32
+    }
+
     /// Instances that share the traffic, as far as this one knows.
     pub fn instances(&self) -> u32 {
         let leaving = self.peers.borrow().values().filter(|p| p.leaving).count();
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -240,6 +240,7 @@
                 policy: conditions.policy,
                 short_weight: conditions.deployment.short_weight(),
                 instances: INSTANCES as u32,
+                index: number as u32,
                 seed: conditions.seed.wrapping_add(number as u64 + 1),
             },
             max_in_flight: 1_000_000,
--- a/crates/load/src/harness/process.rs
+++ b/crates/load/src/harness/process.rs
@@ -63,6 +63,11 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
--- a/crates/load/tests/sockets.rs
+++ b/crates/load/tests/sockets.rs
@@ -49,7 +49,10 @@
         order.rotate_left(i % daemons.len());
         async move {
             let text = prompt(i);
-            caller.complete(&order, i, &text, output, DEADLINE).await.ended
+            caller
+                .complete(&order, i, &text, output, DEADLINE)
+                .await
+                .ended
         }
     });
     future::join_all(sending).await
@@ -94,7 +97,10 @@
         let code = fleet.daemons[0].ended(Duration::from_secs(30)).await;
         assert_eq!(code, Some(0), "{}", fleet.daemons[0].log());
         let later = send(&caller, &daemons, 4, 5).await;
-        assert!(later.iter().all(|ended| *ended == Ended::Whole), "{later:?}");
+        assert!(
+            later.iter().all(|ended| *ended == Ended::Whole),
+            "{later:?}"
+        );
         Ok(())
     });
 }
@@ -110,7 +116,10 @@
         let asking = caller.complete(&first, 0, &text, 200, DEADLINE);
         let killing = async {
             fleet
-                .until("a reservation", async || Ok(reservations(&fleet).await? > 0))
+                .until(
+                    "a reservation",
+                    async || Ok(reservations(&fleet).await? > 0),
+                )
                 .await?;
             fleet.daemons[0].kill();
             anyhow::Ok(())
@@ -118,7 +127,9 @@
         let (_, killed) = future::join(asking, killing).await;
         killed?;
         fleet
-            .until("the release of orphans", async || Ok(reservations(&fleet).await? == 0))
+            .until("the release of orphans", async || {
+                Ok(reservations(&fleet).await? == 0)
+            })
             .await
     });
 }
@@ -137,7 +148,9 @@
         let fleet = fleet(4, 1).await?;
         let caller = Caller::new();
         let text = "archive ".repeat(500_000);
-        let answer = caller.complete(&daemons(&fleet), 0, &text, 20, DEADLINE).await;
+        let answer = caller
+            .complete(&daemons(&fleet), 0, &text, 20, DEADLINE)
+            .await;
         assert_eq!(answer.ended, Ended::Whole);
         fleet
             .until("the release", async || Ok(reservations(&fleet).await? == 0))
@@ -176,7 +189,7 @@
         assert_eq!(kind(&crashed.ended), "content-quarantined", "{crashed:?}");
         let mut down = 0;
         for engine in &mut fleet.engines {
-            down += usize::from(engine.ended(Duration::from_millis(50)).await.is_some() || !engine.is_running());
+            down += usize::from(!engine.is_running());
         }
         assert_eq!(down, 2);
         // The caller sends it again to another instance, which has heard of it.
@@ -197,14 +210,18 @@
         let (caller, daemons) = (Caller::new(), daemons(&fleet));
         for number in 0..10 {
             let body = format!("booking {number}");
-            let sending = daemons.iter().map(|d| caller.book(d, 0, Some(&body), &body));
+            let sending = daemons
+                .iter()
+                .map(|d| caller.book(d, 0, Some(&body), &body));
             let answers = future::join_all(sending).await;
             assert!(answers.iter().any(|a| a.status == 201), "{answers:?}");
         }
         let runs = fleet.runs().await?;
         assert_eq!(runs.len(), 10);
         assert!(runs.values().all(|count| *count == 1), "{runs:?}");
-        let again = caller.book(&daemons[2], 0, Some("booking 3"), "booking 3").await;
+        let again = caller
+            .book(&daemons[2], 0, Some("booking 3"), "booking 3")
+            .await;
         assert!(again.status == 201 && again.replayed, "{again:?}");
         Ok(())
     });
@@ -273,7 +290,13 @@
         future::join(booking, killing).await;
         let again = caller.book(&daemons[1], 0, Some("k"), "orphan").await;
         assert!(again.body.contains("\"ran\":\"unknown\""), "{again:?}");
-        assert!(fleet.runs().await?.get("orphan").is_none_or(|count| *count == 1));
+        assert!(
+            fleet
+                .runs()
+                .await?
+                .get("orphan")
+                .is_none_or(|count| *count == 1)
+        );
         Ok(())
     });
 }
@@ -310,7 +333,9 @@
         fleet.platform_fault("down", 1).await?;
         for at in 0..3 {
             fleet
-                .until("version 2", async || Ok(fleet.status(at).await?.version == 2))
+                .until("version 2", async || {
+                    Ok(fleet.status(at).await?.version == 2)
+                })
                 .await?;
         }
         Ok(())
@@ -328,10 +353,17 @@
         let (a, b) = (fleet.plan(0, first).await?, fleet.plan(1, second).await?);
         let (a, b) = future::join(fleet.confirm(0, &a.id), fleet.confirm(1, &b.id)).await;
         let outcomes = [a?, b?];
-        let accepted = outcomes.iter().filter(|r| r.outcome() == v1::ConfirmOutcome::Accepted);
+        let accepted = outcomes
+            .iter()
+            .filter(|r| r.outcome() == v1::ConfirmOutcome::Accepted);
         assert_eq!(accepted.count(), 1, "{outcomes:?}");
-        let refused = outcomes.iter().find(|r| r.outcome() == v1::ConfirmOutcome::Refused);
-        assert!(refused.is_some_and(|r| r.detail.contains("operator confirmed plan")), "{outcomes:?}");
+        let refused = outcomes
+            .iter()
+            .find(|r| r.outcome() == v1::ConfirmOutcome::Refused);
+        assert!(
+            refused.is_some_and(|r| r.detail.contains("operator confirmed plan")),
+            "{outcomes:?}"
+        );
         Ok(())
     });
 }
@@ -347,7 +379,9 @@
             declaration.engines[1].drain = true;
             let version = fleet.put_in_force(declaration).await?;
             fleet
-                .until("the drained engine", async || Ok(fleet.report(1).await?.draining))
+                .until("the drained engine", async || {
+                    Ok(fleet.report(1).await?.draining)
+                })
                 .await?;
             anyhow::Ok(version)
         };
@@ -357,13 +391,17 @@
         // The daemon that planned may lag behind the one that confirmed.
         for at in 0..2 {
             fleet
-                .until("version 2", async || Ok(fleet.status(at).await?.version == 2))
+                .until("version 2", async || {
+                    Ok(fleet.status(at).await?.version == 2)
+                })
                 .await?;
         }
         let version = fleet.put_in_force(fleet.declaration()).await?;
         assert_eq!(version, 3);
         fleet
-            .until("the engine back", async || Ok(!fleet.report(1).await?.draining))
+            .until("the engine back", async || {
+                Ok(!fleet.report(1).await?.draining)
+            })
             .await
     });
 }
@@ -375,21 +413,29 @@
         // Whoever holds the lease is stopped for longer than it lasts.
         let holder = async || {
             let logs = fleet.daemons.iter().map(|d| d.log());
-            Ok(logs.into_iter().position(|log| log.contains("order: ")))
+            anyhow::Ok(logs.into_iter().position(|log| log.contains("order: ")))
         };
         let mut declaration = fleet.declaration();
         declaration.engines[0].drain = true;
         let version = fleet.put_in_force(declaration).await?;
-        fleet.until("an order", async || Ok(holder().await?.is_some())).await?;
+        fleet
+            .until("an order", async || Ok(holder().await?.is_some()))
+            .await?;
         let paused = holder().await?.unwrap_or(0);
         let other = 1 - paused;
-        fleet.until("the version", async || Ok(fleet.status(other).await?.version == version)).await?;
+        fleet
+            .until("the version", async || {
+                Ok(fleet.status(other).await?.version == version)
+            })
+            .await?;
         fleet.daemons[paused].signal(Signal::SIGSTOP)?;
         let back = fleet.plan(other, fleet.declaration()).await?;
         let reply = fleet.confirm(other, &back.id).await?;
         assert_eq!(reply.outcome(), v1::ConfirmOutcome::Accepted);
         fleet
-            .until("the order of the new holder", async || Ok(!fleet.report(0).await?.draining))
+            .until("the order of the new holder", async || {
+                Ok(!fleet.report(0).await?.draining)
+            })
             .await?;
         fleet.daemons[paused].signal(Signal::SIGCONT)?;
         fleet
@@ -397,7 +443,10 @@
                 Ok(fleet.status(paused).await?.version == version + 1)
             })
             .await?;
-        assert!(!fleet.report(0).await?.draining, "the former holder undid the order");
+        assert!(
+            !fleet.report(0).await?.draining,
+            "the former holder undid the order"
+        );
         Ok(())
     });
 }
