--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -260,6 +260,12 @@
         }
         flight.position += count;
         flight.progressed_at = now;
+        if flight.alone {
+            self.proven_innocent(id, now);
+        }
+        let Some(flight) = self.flights.get_mut(&id) else {
+            return (Delivery::Drop, Vec::new());
+        };
         if !flight.started {
             flight.started = true;
             self.first_token(id, attempt, now);
--- a/crates/core/src/dispatch/suspects.rs
+++ b/crates/core/src/dispatch/suspects.rs
@@ -12,7 +12,7 @@
 };
 
 /// Longest wait for an engine to become empty for a suspect.
-const EMPTY_WAIT: Duration = Duration::from_secs(2);
+const EMPTY_WAIT: Duration = Duration::from_millis(500);
 
 /// Time between two looks at engines that are to become empty.
 const POLL_PERIOD: Duration = Duration::from_millis(50);
@@ -64,7 +64,7 @@
     /// Looks for engines on which waiting suspects can run alone.
     pub(crate) fn pump_suspects(&mut self, now: Instant) {
         self.send_isolated(now);
-        for id in std::mem::take(&mut self.suspects) {
+        for id in self.take_suspects() {
             let room = self.isolations.len() < self.most_isolations();
             if !room || !self.isolate(id, now) {
                 self.suspects.push_back(id);
@@ -84,6 +84,17 @@
         }
     }
 
+    /// A suspect that runs alone has got past where it was when its engine
+    /// crashed: it read its prompt and made a token more. It goes on as any other
+    /// request, and the engine is free for the next suspect.
+    pub(crate) fn proven_innocent(&mut self, id: RequestId, now: Instant) {
+        if let Some(flight) = self.flights.get_mut(&id) {
+            flight.alone = false;
+        }
+        self.clear_suspicion(id);
+        self.end_isolation(id, now);
+    }
+
     /// Opens the engine that a suspect had to itself.
     pub(crate) fn end_isolation(&mut self, id: RequestId, now: Instant) {
         let engines = self.isolations_of(id);
@@ -104,6 +115,14 @@
         }
     }
 
+    /// Waiting suspects, the shortest first: they are cleared the quickest, and
+    /// their deadlines are the nearest.
+    fn take_suspects(&mut self) -> Vec<RequestId> {
+        let mut ids: Vec<RequestId> = self.suspects.drain(..).collect();
+        ids.sort_by_key(|id| self.flights.get(id).map(|f| f.request.prompt.get()));
+        ids
+    }
+
     fn isolations_of(&self, id: RequestId) -> Vec<EngineId> {
         let own = self.isolations.iter().filter(|(_, i)| i.request == id);
         own.map(|(engine, _)| engine.clone()).collect()
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -107,6 +107,8 @@
 enum ToInstance {
     First {
         attempt: AttemptId,
+        /// Its position in the answer.
+        first: u64,
     },
     Done {
         attempt: AttemptId,
@@ -162,8 +164,8 @@
     busy: bool,
     alive: bool,
     epoch: u64,
-    /// Which instance sent each job, and the length of its answer.
-    owners: HashMap<u64, usize>,
+    /// Which instance sent each job, and the position of its first token.
+    owners: HashMap<u64, (usize, u64)>,
     /// Cache changes by number, for instances that lag behind each other.
     changes: Vec<CacheEvent>,
     sent_changes: Vec<usize>,
@@ -361,8 +363,8 @@
         state.busy = false;
         state.epoch += 1;
         state.engine.crash();
-        let broken: Vec<(u64, usize)> = state.owners.drain().collect();
-        for (job, instance) in broken {
+        let broken: Vec<(u64, (usize, u64))> = state.owners.drain().collect();
+        for (job, (instance, _)) in broken {
             let attempt = attempt_of(job);
             let failure = Failure::Broken;
             self.send_to_instance(
@@ -381,7 +383,8 @@
         }
         match message {
             ToEngine::Submit { instance, job } => {
-                self.engines[engine].owners.insert(job.id, instance);
+                let owner = (instance, job.resume_from);
+                self.engines[engine].owners.insert(job.id, owner);
                 self.engines[engine].engine.submit(job);
                 self.start_step(engine);
             }
@@ -466,16 +469,24 @@
         self.engines[engine].busy = false;
         for output in outputs {
             match output {
-                Output::Token { job, position: 0 } => self.output(engine, job, false),
-                Output::Token { .. } | Output::Crashed => {}
+                Output::Token { job, position } => self.token(engine, job, position),
                 Output::Done { job } => self.output(engine, job, true),
+                Output::Crashed => {}
             }
         }
         self.start_step(engine);
     }
 
+    /// Of an answer's tokens only the first is passed on, which keeps runs quick.
+    fn token(&mut self, engine: usize, job: u64, position: u64) {
+        let owner = self.engines[engine].owners.get(&job);
+        if owner.is_some_and(|(_, first)| *first == position) {
+            self.output(engine, job, false);
+        }
+    }
+
     fn output(&mut self, engine: usize, job: u64, done: bool) {
-        let Some(instance) = self.engines[engine].owners.get(&job).copied() else {
+        let Some((instance, first)) = self.engines[engine].owners.get(&job).copied() else {
             return;
         };
         let attempt = attempt_of(job);
@@ -483,7 +494,7 @@
         let message = match (done, grouped) {
             (true, true) => ToInstance::SegmentDone { attempt },
             (true, false) => ToInstance::Done { attempt },
-            (false, _) => ToInstance::First { attempt },
+            (false, _) => ToInstance::First { attempt, first },
         };
         if done {
             self.engines[engine].owners.remove(&job);
@@ -505,8 +516,8 @@
         let id = engine_id(engine);
         let state = &mut self.instances[instance];
         let actions = match message {
-            ToInstance::First { attempt } => {
-                let (_, actions) = state.dispatcher.tokens(attempt, 0, 1, now);
+            ToInstance::First { attempt, first } => {
+                let (_, actions) = state.dispatcher.tokens(attempt, first, 1, now);
                 self.first_token(instance, attempt);
                 actions
             }
@@ -616,7 +627,7 @@
             id: job_of(instance, attempt),
             prompt: arrival.prompt,
             output: arrival.output,
-            resume_from: 0,
+            resume_from: sending.resume_from,
             memory: arrival.prompt + arrival.output,
             priority: sending.plan.priority.0,
             prefixes: arrival.prefixes.clone(),
