Measure what a daemon adds to each token

Cause: the stated bound of 1 ms at p99 had no measurement. Change: a latency command with an engine that writes the time into each token; events of a stream are written from borrowed fields instead of a JSON tree.

--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -10,6 +10,7 @@
     ids::{ModelId, RequestId},
     request::{self, Ran, Reason, Refusal},
 };
+use serde::Serialize;
 use serde_json::json;
 use tokio::sync::mpsc;
 
@@ -23,6 +24,9 @@
 /// Pieces of an answer that may wait for the caller to take them.
 const PIECES_AHEAD: usize = 64;
 
+/// Usual size of an event.
+const CHUNK_BYTES: usize = 256;
+
 /// The two shapes in which completions are asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Shape {
@@ -68,6 +72,33 @@
     model: String,
     prompt_tokens: u64,
     arrived_at: Instant,
+    id: String,
+    created_s: u64,
+}
+
+/// One event of a streamed answer.
+#[derive(Serialize)]
+struct Chunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [ChunkChoice; 1],
+}
+
+#[derive(Serialize)]
+struct ChunkChoice {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Delta>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Delta {
+    content: String,
 }
 
 /// Answers a request for a completion.
@@ -124,6 +155,8 @@
         model: content.model.clone(),
         prompt_tokens: content.prompt.get(),
         arrived_at,
+        id: answer_id(node, id),
+        created_s: unix_ms() / 1_000,
     };
     let wanted = request::Request {
         id,
@@ -262,7 +295,7 @@
 
     fn chunk(&self, piece: Piece) -> Bytes {
         match piece {
-            Piece::Text(piece) => event(&self.text_chunk(&piece)),
+            Piece::Text(piece) => event(&self.text_chunk(piece)),
             Piece::End(Outcome::Completed) => Bytes::from_static(b"data: [DONE]\n\n"),
             Piece::End(Outcome::Refused(refusal)) => error_event(&refusal),
             Piece::End(Outcome::Abandoned) => error_event(&Refusal {
@@ -273,23 +306,29 @@
         }
     }
 
-    fn text_chunk(&self, piece: &TextPiece) -> serde_json::Value {
-        let choice = match self.shape {
-            Shape::Text => json!({
-                "index": 0, "text": piece.text, "finish_reason": piece.finish_reason,
-            }),
-            Shape::Chat => json!({
-                "index": 0, "delta": {"content": piece.text}, "finish_reason": piece.finish_reason,
-            }),
-        };
-        let object = match self.shape {
-            Shape::Text => "text_completion",
-            Shape::Chat => "chat.completion.chunk",
+    fn text_chunk(&self, piece: TextPiece) -> Chunk<'_> {
+        let (text, delta) = match self.shape {
+            Shape::Text => (Some(piece.text), None),
+            Shape::Chat => {
+                let content = piece.text;
+                (None, Some(Delta { content }))
+            }
         };
-        json!({
-            "id": self.id(), "object": object, "created": unix_ms() / 1_000,
-            "model": self.model, "choices": [choice],
-        })
+        Chunk {
+            id: &self.id,
+            object: match self.shape {
+                Shape::Text => "text_completion",
+                Shape::Chat => "chat.completion.chunk",
+            },
+            created: self.created_s,
+            model: &self.model,
+            choices: [ChunkChoice {
+                index: 0,
+                text,
+                delta,
+                finish_reason: piece.finish_reason,
+            }],
+        }
     }
 
     fn whole_body(&self, text: &str, finish: Option<String>, tokens: u64) -> Response<BoxBody> {
@@ -305,7 +344,7 @@
             Shape::Chat => "chat.completion",
         };
         let body = json!({
-            "id": self.id(), "object": object, "created": unix_ms() / 1_000,
+            "id": self.id, "object": object, "created": self.created_s,
             "model": self.model, "choices": [choice],
             "usage": {
                 "prompt_tokens": self.prompt_tokens, "completion_tokens": tokens,
@@ -314,19 +353,21 @@
         });
         http::json(200, body.to_string())
     }
+}
 
-    fn id(&self) -> String {
-        let node = &self.guard.node;
-        let number = self.guard.request.0;
-        format!(
-            "cmpl-{}-{:x}-{number}",
-            node.settings.instance, node.incarnation
-        )
-    }
+/// Id of an answer, unique over all instances and restarts.
+fn answer_id(node: &Node, request: RequestId) -> String {
+    let instance = &node.settings.instance;
+    format!("cmpl-{instance}-{:x}-{}", node.incarnation, request.0)
 }
 
-fn event(value: &serde_json::Value) -> Bytes {
-    Bytes::from(format!("data: {value}\n\n"))
+fn event(chunk: &Chunk<'_>) -> Bytes {
+    let mut text = Vec::with_capacity(CHUNK_BYTES);
+    text.extend_from_slice(b"data: ");
+    // Writing to memory cannot fail, and the types have no maps with odd keys.
+    let _ = serde_json::to_writer(&mut text, chunk);
+    text.extend_from_slice(b"\n\n");
+    Bytes::from(text)
 }
 
 /// The end of a stream that broke; no `[DONE]` follows.
--- a/crates/load/src/harness/client.rs
+++ b/crates/load/src/harness/client.rs
@@ -126,10 +126,7 @@
             .http
             .post(url)
             .timeout(Duration::from_secs(20))
-            .insert_header((
-                "authorization",
-                format!("Bearer {}", config::account_key(account)),
-            ));
+            .insert_header(("authorization", config::bearer(account)));
         if let Some(key) = key {
             request = request.insert_header(("idempotency-key", key));
         }
@@ -168,10 +165,7 @@
         let request = self
             .http
             .post(format!("http://{daemon}/v1/completions"))
-            .insert_header((
-                "authorization",
-                format!("Bearer {}", config::account_key(account)),
-            ))
+            .insert_header(("authorization", config::bearer(account)))
             .insert_header(("x-deadline-ms", deadline.as_millis().to_string()));
         let mut response = match request.send_body(body.to_string()).await {
             Ok(response) => response,
--- a/crates/load/src/harness/config.rs
+++ b/crates/load/src/harness/config.rs
@@ -110,6 +110,11 @@
     format!("{ACCOUNT_KEY}-{}", number % ACCOUNTS)
 }
 
+/// Header value with the key of one of the accounts.
+pub(crate) fn bearer(number: usize) -> String {
+    format!("Bearer {}", account_key(number))
+}
+
 fn engine((i, address): (usize, &String)) -> v1::Engine {
     let spec = Spec::default();
     v1::Engine {
--- a/crates/load/src/harness/mod.rs
+++ b/crates/load/src/harness/mod.rs
@@ -11,6 +11,7 @@
 mod process;
 
 pub use client::{Answer, Booking, Caller, Ended};
+pub(crate) use config::bearer;
 pub use config::{ACCOUNT_KEY, MODEL, OPERATOR_KEY, declaration, settings};
 pub use fleet::{Fleet, FleetOptions};
 pub use process::Process;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -10,6 +10,7 @@
     capacity::{self, capacity_options},
     demo::{self, demo_options},
     experiment::{self, compare_options},
+    latency::{self, latency_options},
     slopes::{self, slopes_options},
     standins::{self, engine_options, plain_options, platform_options},
 };
@@ -24,6 +25,9 @@
     /// Run routing policies side by side in virtual time
     #[bpaf(command)]
     Compare(#[bpaf(external(compare_options))] experiment::CompareOptions),
+    /// Measure what a daemon adds to the way of each token
+    #[bpaf(command)]
+    Latency(#[bpaf(external(latency_options))] latency::LatencyOptions),
     /// Measure how costs grow with size
     #[bpaf(command)]
     Slopes(#[bpaf(external(slopes_options))] slopes::SlopesOptions),
@@ -60,6 +64,7 @@
     match command().run() {
         Command::Demo(options) => with_program(|program| demo::run(&options, program)),
         Command::Capacity(options) => capacity::run(&options),
+        Command::Latency(options) => with_program(|program| latency::run(&options, program)),
         Command::Slopes(options) => with_program(|program| slopes::run(&options, program)),
         Command::Compare(options) => {
             println!("{}", experiment::compare(&options));
--- a/crates/load/src/standins/engine.rs
+++ b/crates/load/src/standins/engine.rs
@@ -19,7 +19,7 @@
 use crate::{
     model::{Engine, Job, JobId, Output, Spec},
     standins::{
-        POISON,
+        POISON, TIMED,
         report::{self, Held, Identity},
         server,
     },
@@ -230,6 +230,7 @@
         last: output.saturating_sub(1),
         first: resume_from,
         chat,
+        timed: content.timed,
     };
     actix_rt::spawn(stream(Rc::clone(state), answer, receiver, sender));
     http::streamed(http::Chunks::new(chunks, guard))
@@ -256,6 +257,8 @@
     first: u64,
     last: u64,
     chat: bool,
+    /// Whether the text is the time at which each token was made.
+    timed: bool,
 }
 
 async fn stream(
@@ -278,7 +281,10 @@
 }
 
 fn chunk(state: &State, answer: &Answer, position: u64) -> Bytes {
-    let text = token_text(answer.seed, position);
+    let text = match answer.timed {
+        true => format!("{} ", unix_us()),
+        false => token_text(answer.seed, position),
+    };
     let last = position == answer.last;
     let finish_reason = last.then_some("length");
     let choice = match answer.chat {
@@ -294,6 +300,12 @@
     Bytes::from(format!("data: {event}\n\n"))
 }
 
+/// Microseconds since the Unix epoch.
+pub(crate) fn unix_us() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |time| time.as_micros() as u64)
+}
+
 /// The text of a token: a function of the prompt and the position alone, so a
 /// reader can tell whether a token belongs to its own prompt.
 pub(crate) fn token_text(seed: u64, position: u64) -> String {
@@ -308,6 +320,7 @@
     seed: u64,
     prefixes: Vec<(u64, u64)>,
     poison: bool,
+    timed: bool,
 }
 
 impl Content {
@@ -325,6 +338,7 @@
             seed: prompt_seed(&prompt),
             prefixes: prefixes(prompt.as_bytes()),
             poison: prompt.contains(POISON),
+            timed: prompt.contains(TIMED),
         })
     }
 }
--- a/crates/load/src/standins/mod.rs
+++ b/crates/load/src/standins/mod.rs
@@ -14,9 +14,13 @@
 mod server;
 
 pub use engine::{EngineOptions, engine_options, run as run_engine};
-pub(crate) use engine::{prompt_seed, token_text};
+pub(crate) use engine::{prompt_seed, token_text, unix_us};
 pub use plain::{PlainOptions, plain_options, run as run_plain};
 pub use platform::{PlatformOptions, platform_options, run as run_platform};
 
 /// A prompt with this text crashes the engine that reads it.
 pub const POISON: &str = "CRASH-THE-ENGINE";
+
+/// Tokens of an answer to a prompt with this text are the times, in microseconds
+/// since the Unix epoch, at which they were made.
+pub const TIMED: &str = "TELL-THE-TIME";
