Let operators ask about a request

Cause: explain was missing from the operators' tool; a refusal could not be traced to its decisions.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -65,6 +65,9 @@
     /// Show the accepted changes
     #[bpaf(command)]
     History,
+    /// Show what was decided about a request, by its x-request-id
+    #[bpaf(command)]
+    Explain(#[bpaf(positional("REQUEST"))] String),
     /// Plan to drain an engine
     #[bpaf(command)]
     Drain(#[bpaf(positional("ENGINE"))] String),
@@ -106,6 +109,7 @@
         Command::Confirm(id) => confirm(&client, id, options.json).await,
         Command::Status => status(&client, options.json).await,
         Command::History => history(&client, options.json).await,
+        Command::Explain(request) => explain(&client, request, options.json).await,
         Command::Drain(engine) => set_drain(&client, engine, true, options.json).await,
         Command::Undrain(engine) => set_drain(&client, engine, false, options.json).await,
         Command::Declaration => {
@@ -203,6 +207,25 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Asks every instance, as only the one that served the request remembers it.
+async fn explain(client: &Client, request: &str, json: bool) -> anyhow::Result<ExitCode> {
+    let path = format!("/v1/explain/{request}");
+    let mut last = Failure::NoInstance("none is named".to_owned()).into();
+    for instance in client.instances() {
+        match client.get_from::<v1::Explanation>(instance, &path).await {
+            Ok(explanation) => {
+                match json {
+                    true => print_json(&explanation)?,
+                    false => println!("{}", render::explanation(&explanation)),
+                }
+                return Ok(ExitCode::SUCCESS);
+            }
+            Err(err) => last = err,
+        }
+    }
+    Err(last)
+}
+
 async fn set_drain(
     client: &Client,
     engine: &str,
--- a/crates/cli/src/render.rs
+++ b/crates/cli/src/render.rs
@@ -77,6 +77,16 @@
     text.trim_end().to_owned()
 }
 
+/// Renders the decisions about a request.
+pub fn explanation(explanation: &v1::Explanation) -> String {
+    let (request, instance) = (&explanation.request, &explanation.instance);
+    let mut text = format!("{request} at {instance}, times since its start");
+    for line in &explanation.lines {
+        let _ = write!(text, "\n  {line}");
+    }
+    text
+}
+
 fn engines(engines: &[v1::EngineStatus]) -> String {
     let mut text = format!(
         "\n{:<14} {:<8} {:<16} {:>9} {:>15}\n",
--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -2,7 +2,11 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use actix_http::{Request, Response, body::BoxBody};
+use actix_http::{
+    Request, Response,
+    body::BoxBody,
+    header::{HeaderName, HeaderValue},
+};
 use bytes::Bytes;
 use cyclamengauge_core::{
     clock::Instant,
@@ -24,6 +28,9 @@
 /// Pieces of an answer that may wait for the caller to take them.
 const PIECES_AHEAD: usize = 64;
 
+/// Header with the request's name, by which operators can ask about it.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
 /// Usual size of an event.
 const CHUNK_BYTES: usize = 256;
 
@@ -107,11 +114,19 @@
     mut request: Request,
     shape: Shape,
 ) -> Response<BoxBody> {
-    match prepare(&node, &mut request, shape).await {
-        Err(refused) => refused,
-        Ok((answer, true)) => answer.stream().await,
-        Ok((answer, false)) => answer.whole().await,
+    let (answer, streamed) = match prepare(&node, &mut request, shape).await {
+        Ok(prepared) => prepared,
+        Err(refused) => return refused,
+    };
+    let name = answer.id.clone();
+    let mut response = match streamed {
+        true => answer.stream().await,
+        false => answer.whole().await,
+    };
+    if let Ok(value) = HeaderValue::from_str(&name) {
+        response.headers_mut().insert(REQUEST_ID, value);
     }
+    response
 }
 
 async fn prepare(
@@ -155,7 +170,7 @@
         model: content.model.clone(),
         prompt_tokens: content.prompt.get(),
         arrived_at,
-        id: answer_id(node, id),
+        id: node.request_name(id),
         created_s: unix_ms() / 1_000,
     };
     let wanted = request::Request {
@@ -355,12 +370,6 @@
     }
 }
 
-/// Id of an answer, unique over all instances and restarts.
-fn answer_id(node: &Node, request: RequestId) -> String {
-    let instance = &node.settings.instance;
-    format!("cmpl-{instance}-{:x}-{}", node.incarnation, request.0)
-}
-
 fn event(chunk: &Chunk<'_>) -> Bytes {
     let mut text = Vec::with_capacity(CHUNK_BYTES);
     text.extend_from_slice(b"data: ");
--- a/crates/daemon/src/node/actions.rs
+++ b/crates/daemon/src/node/actions.rs
@@ -84,6 +84,7 @@
 
     fn send(self: &Rc<Self>, sending: Sending) {
         telemetry::routed(&sending);
+        self.note(sending.request, telemetry::placement(&sending));
         let attempt = sending.attempt;
         let task = actix_rt::spawn(engines::run_attempt(Rc::clone(self), sending));
         let mut attempts = self.attempts.borrow_mut();
@@ -93,6 +94,7 @@
 
     fn finish(&self, request: RequestId, outcome: Outcome) {
         telemetry::finished(request, &outcome);
+        self.note(request, telemetry::end(&outcome));
         let Some(caller) = self.callers.borrow_mut().remove(&request) else {
             return;
         };
@@ -102,6 +104,11 @@
         let _ = caller.pieces.try_send(Piece::End(outcome));
     }
 
+    fn note(&self, request: RequestId, line: String) {
+        let now = self.clock.now();
+        self.journal.borrow_mut().note(request, now, line);
+    }
+
     /// Base URL of an engine.
     pub fn engine_url(&self, engine: &EngineId) -> Option<String> {
         let directory = self.directory.borrow();
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod actions;
 mod configure;
 mod directory;
+mod journal;
 mod time;
 
 use std::{
@@ -28,6 +29,7 @@
 use tokio::sync::{Notify, mpsc};
 
 pub use directory::{AccountEntry, Directory, EngineEntry, ServiceEntry, decode};
+pub use journal::Journal;
 pub use time::{Clock, unix_ms};
 
 use crate::platform;
@@ -96,6 +98,8 @@
     pub callers: RefCell<HashMap<RequestId, Caller>>,
     /// Tasks that run attempts.
     pub attempts: RefCell<HashMap<AttemptId, tokio::task::AbortHandle>>,
+    /// Decisions about requests.
+    pub journal: RefCell<Journal>,
     /// What engines report, by name.
     pub reports: RefCell<HashMap<EngineId, v1::EngineReport>>,
     /// When each engine was heard last.
@@ -139,6 +143,7 @@
             current: RefCell::new(intent::Current::default()),
             callers: RefCell::new(HashMap::new()),
             attempts: RefCell::new(HashMap::new()),
+            journal: RefCell::new(Journal::default()),
             reports: RefCell::new(HashMap::new()),
             heard_at: RefCell::new(HashMap::new()),
             peers: RefCell::new(HashMap::new()),
@@ -163,6 +168,20 @@
         RequestId(self.last_request.get())
     }
 
+    /// Name of a request, unique over all instances and restarts. Callers get it
+    /// with every answer, and operators ask by it.
+    pub fn request_name(&self, request: RequestId) -> String {
+        let instance = &self.settings.instance;
+        format!("cmpl-{instance}-{:x}-{}", self.incarnation, request.0)
+    }
+
+    /// The request of that name, if it was one of this instance.
+    pub fn request_of(&self, name: &str) -> Option<RequestId> {
+        let (_, number) = name.rsplit_once('-')?;
+        let request = RequestId(number.parse().ok()?);
+        (self.request_name(request) == name).then_some(request)
+    }
+
     /// Number of the next non-idempotent call.
     pub fn next_call(&self) -> u64 {
         self.last_call.set(self.last_call.get() + 1);
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -26,6 +26,9 @@
 /// Largest declaration.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Path under which requests are explained, by name.
+const EXPLAIN: &str = "/v1/explain/";
+
 /// Time in which a body must have arrived.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -58,6 +61,9 @@
     match (method.as_str(), path.as_str()) {
         ("GET", "/v1/status") => status::status(&node),
         ("GET", "/v1/configuration") => status::configuration(&node),
+        ("GET", path) if path.starts_with(EXPLAIN) => {
+            status::explain(&node, &path[EXPLAIN.len()..])
+        }
         ("POST", "/v1/plan") => intents::plan(&node, &operator, &body).await,
         ("POST", "/v1/confirm") => intents::confirm(&node, &operator, &body).await,
         _ => http::problem(
--- a/crates/daemon/src/operators/status.rs
+++ b/crates/daemon/src/operators/status.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use actix_http::{Response, body::BoxBody};
-use cyclamengauge_core::{ids::EngineId, invariant, membership::Standing};
+use cyclamengauge_core::{ids::EngineId, invariant, membership::Standing, request::Ran};
 use cyclamengauge_schema::v1;
 
 use crate::{http, node::Node};
@@ -36,6 +36,24 @@
     http::json(200, serde_json::to_vec(accepted).unwrap_or_default())
 }
 
+/// What was decided about a request of this instance.
+pub(super) fn explain(node: &Rc<Node>, name: &str) -> Response<BoxBody> {
+    let journal = node.journal.borrow();
+    let lines = node
+        .request_of(name)
+        .map_or(&[][..], |id| journal.lines(id));
+    if lines.is_empty() {
+        let detail = "this instance does not remember the request";
+        return http::problem(404, "unknown-request", detail, Ran::No, None);
+    }
+    let explanation = v1::Explanation {
+        request: name.to_owned(),
+        instance: node.settings.instance.clone(),
+        lines: lines.to_vec(),
+    };
+    http::json(200, serde_json::to_vec(&explanation).unwrap_or_default())
+}
+
 /// Sets the gauges that are not kept up to date all the time.
 pub(super) fn measure(node: &Node) {
     let now = node.clock.now();
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -62,6 +62,38 @@
     );
 }
 
+/// The placement of an attempt in words.
+pub fn placement(sending: &Sending) -> String {
+    let plan = &sending.plan;
+    let engines: Vec<&str> = plan.segments.iter().map(|s| s.engine.as_str()).collect();
+    let mut words = format!(
+        "{} to {}, {}, estimated {} ms",
+        sending.attempt,
+        engines.join(","),
+        plan.choice,
+        plan.estimate.as_millis()
+    );
+    if !plan.runners_up.is_empty() {
+        words.push_str(&format!("; next {}", RunnersUp(&plan.runners_up)));
+    }
+    if sending.resume_from > 0 {
+        words.push_str(&format!("; resumed at token {}", sending.resume_from));
+    }
+    words
+}
+
+/// The end of a request in words.
+pub fn end(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Completed => "answered whole".to_owned(),
+        Outcome::Abandoned => "the caller went away".to_owned(),
+        Outcome::Refused(refusal) => {
+            let (reason, ran) = (refusal.reason, refusal.ran);
+            format!("refused, {reason}, ran: {ran}")
+        }
+    }
+}
+
 /// Counts the end of a request, and logs it unless it went well.
 pub fn finished(request: RequestId, outcome: &Outcome) {
     let label = match outcome {
