Put long files into modules with one job and bound load hints

Change: groups, arrivals and the experiment's parts are modules of their own; one reader of JSON with comments in the schema crate; an exchange names the 8 engines with most unread work instead of 64 in any order. Conclusion: behaviour is unchanged but for the hints.

--- a/crates/cli/src/declaration.rs
+++ b/crates/cli/src/declaration.rs
@@ -2,14 +2,12 @@
 
 use std::{
     fs,
-    io::Read,
     path::{Path, PathBuf},
 };
 
 use anyhow::Context;
 use cyclamengauge_core::intent;
-use cyclamengauge_schema::v1;
-use json_comments::StripComments;
+use cyclamengauge_schema::{parse_json, v1};
 
 /// Reads all `.json` files of a directory, in the order of their names, and
 /// joins them into one declaration.
@@ -74,9 +72,5 @@
 
 fn read_file(path: &Path) -> anyhow::Result<v1::Declaration> {
     let bytes = fs::read(path).with_context(|| format!("read {}", path.display()))?;
-    let mut text = String::new();
-    StripComments::new(&bytes[..])
-        .read_to_string(&mut text)
-        .with_context(|| format!("read {}", path.display()))?;
-    serde_json::from_str(&text).with_context(|| format!("parse {}", path.display()))
+    parse_json(&bytes).with_context(|| format!("parse {}", path.display()))
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -16,27 +16,14 @@
     ids::{AttemptId, EngineId, RequestId},
     membership,
     recovery::{budget, quarantine, reservation},
-    request::{Ran, Reason, Refusal, Request},
-    routing::{self, CacheEvent, Plan, Policy, Unroutable},
+    request::{Reason, Refusal},
+    routing::{self, CacheEvent, Plan},
     timer,
     units::Tokens,
 };
 
-/// Expected time between two tokens of an answer.
-const TOKEN_TIME: Duration = Duration::from_millis(25);
-
-/// Expected length of an answer as a share of its limit.
-const EXPECTED_OUTPUT: f64 = 0.5;
-
 /// When to come back if there is no better estimate.
-const DEFAULT_RETRY: Duration = Duration::from_secs(2);
-
-/// Part of its time that a request may need before capacity counts as short for
-/// it; then accounts above their fair share are refused.
-const FAIR_PART: f64 = 0.6;
-
-/// Requests that may wait for a group of engines.
-const MAX_WAITING: usize = 64;
+pub(crate) const DEFAULT_RETRY: Duration = Duration::from_secs(2);
 
 crate::values! {
     /// Settings of a dispatcher.
@@ -83,9 +70,9 @@
     pub(crate) deaths: Vec<(EngineId, Instant)>,
     pub(crate) timers: timer::Service<Due>,
     pub(crate) actions: Vec<Action>,
-    waiting: usize,
+    pub(crate) waiting: usize,
     last_attempt: u64,
-    closing: bool,
+    pub(crate) closing: bool,
 }
 
 impl Dispatcher {
@@ -214,32 +201,6 @@
         self.quarantine.learn(notice, now);
     }
 
-    /// Admits a request and sends it on its way, or refuses it.
-    pub fn arrive(&mut self, request: Request, now: Instant) -> Vec<Action> {
-        if let Err(refusal) = self.screen(&request, now) {
-            self.finish_unadmitted(request.id, refusal);
-            return self.take_actions();
-        }
-        let planned = self.fleet.plan(&request, now);
-        if let Err(refusal) = self.judge(&request, &planned, now) {
-            self.gate.done(&request.account);
-            self.finish_unadmitted(request.id, refusal);
-            return self.take_actions();
-        }
-        self.budget.earn();
-        self.fleet.admitted(&request, planned.as_ref().ok(), now);
-        let id = request.id;
-        let at = request.deadline;
-        let deadline = self.timers.subscribe(at, Due::Deadline(id));
-        let known = self.flights.insert(id, Flight::new(request, deadline, now));
-        checked!(known.is_none(), "request-ids-unique", "{id} arrived twice");
-        match planned {
-            Ok(plan) => self.start(id, plan, now),
-            Err(_) => self.wait_for_room(id, now),
-        }
-        self.take_actions()
-    }
-
     /// Takes in tokens of an answer, `count` of them from position `from` on.
     pub fn tokens(
         &mut self,
@@ -310,60 +271,6 @@
         self.closing = true;
     }
 
-    fn screen(&mut self, request: &Request, now: Instant) -> Result<(), Refusal> {
-        if self.closing {
-            return Err(refused(Reason::ShuttingDown, Some(Duration::ZERO)));
-        }
-        if self.flights.len() >= self.settings.max_in_flight {
-            return Err(refused(Reason::InstanceFull, Some(DEFAULT_RETRY)));
-        }
-        let (verdict, rest) = self.quarantine.verdict(&request.fingerprint, now);
-        match verdict {
-            quarantine::Verdict::Clear => {}
-            quarantine::Verdict::Suspect => {
-                return Err(refused(Reason::UnderSuspicion, Some(DEFAULT_RETRY)));
-            }
-            quarantine::Verdict::Quarantined => {
-                return Err(refused(Reason::Quarantined, Some(rest)));
-            }
-        }
-        self.gate.admit(&request.account, request.prompt, now)
-    }
-
-    /// Refuses what cannot be answered in time or fairly. Baselines accept all.
-    fn judge(
-        &mut self,
-        request: &Request,
-        planned: &Result<Plan, Unroutable>,
-        now: Instant,
-    ) -> Result<(), Refusal> {
-        let plan = match planned {
-            Ok(plan) => plan,
-            Err(Unroutable::NoEngine) => {
-                return Err(refused(Reason::NoEngine, Some(DEFAULT_RETRY)));
-            }
-            Err(Unroutable::TooLong) => return Err(refused(Reason::TooLong, None)),
-            Err(Unroutable::NoRoom) if self.waiting >= MAX_WAITING => {
-                return Err(refused(Reason::InstanceFull, Some(DEFAULT_RETRY)));
-            }
-            Err(Unroutable::NoRoom) => return Ok(()),
-        };
-        if self.settings.fleet.policy != Policy::LengthAware {
-            return Ok(());
-        }
-        let left = request.deadline - now;
-        let needed = plan.estimate + answer_time(request);
-        if needed > left {
-            let later = (needed - left).max(Duration::from_secs(1));
-            return Err(refused(Reason::DeadlineUnreachable, Some(later)));
-        }
-        let short = needed > left.mul_f64(FAIR_PART);
-        if short && self.gate.over_share(&request.account, now) {
-            return Err(refused(Reason::OverFairShare, Some(plan.estimate)));
-        }
-        Ok(())
-    }
-
     /// Starts an attempt by its plan: at once on one engine, after the memory
     /// is reserved on a group.
     pub(crate) fn start(&mut self, id: RequestId, plan: Plan, now: Instant) {
@@ -536,13 +443,6 @@
         self.finish(id, Outcome::Refused(refusal), now);
     }
 
-    fn finish_unadmitted(&mut self, request: RequestId, refusal: Refusal) {
-        self.actions.push(Action::Finish {
-            request,
-            outcome: Outcome::Refused(refusal),
-        });
-    }
-
     pub(crate) fn enter_waiting(&mut self, id: RequestId) {
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
@@ -585,16 +485,3 @@
         std::mem::take(&mut self.actions)
     }
 }
-
-fn refused(reason: Reason, retry_after: Option<Duration>) -> Refusal {
-    Refusal {
-        reason,
-        ran: Ran::No,
-        retry_after,
-    }
-}
-
-/// Expected time from the first token to the last.
-pub(crate) fn answer_time(request: &Request) -> Duration {
-    TOKEN_TIME.mul_f64(request.max_output.0 as f64 * EXPECTED_OUTPUT)
-}
--- a/crates/core/src/dispatch/groups.rs
+++ b/crates/core/src/dispatch/groups.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::Instant,
-    dispatch::{Action, Dispatcher, Due, dispatcher, flight::Phase},
+    dispatch::{Action, Dispatcher, Due, arrivals, flight::Phase},
     ids::{AttemptId, EngineId, RequestId},
     recovery::reservation::{Order, Progress, Reply},
     request::{Reason, Request},
@@ -99,7 +99,7 @@
 
     /// Whether the deadline would pass even if all engines were idle from now on.
     fn is_hopeless(&self, request: &Request, now: Instant) -> bool {
-        let least = self.fleet.least_time(request) + dispatcher::answer_time(request);
+        let least = self.fleet.least_time(request) + arrivals::answer_time(request);
         now + least > request.deadline
     }
 
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 time.
 */
 
+mod arrivals;
 mod dispatcher;
 mod failures;
 mod flight;
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -9,6 +9,7 @@
 
 mod affinity;
 mod fleet;
+mod groups;
 mod hash;
 mod load;
 mod mix;
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -23,7 +23,7 @@
     let path = request.path().to_owned();
     let method = request.method().as_str().to_owned();
     match (method.as_str(), path.as_str()) {
-        ("GET", "/ready") => ready(&node),
+        ("GET", "/ready") => http::readiness(node.is_ready()),
         ("POST", "/v1/completions") => {
             completions::handle(node, request, completions::Shape::Text).await
         }
@@ -42,13 +42,6 @@
     }
 }
 
-fn ready(node: &Node) -> Response<BoxBody> {
-    match node.is_ready() {
-        true => http::text(200, "ready\n"),
-        false => http::text(503, "not ready\n"),
-    }
-}
-
 fn wrong_method() -> Response<BoxBody> {
     http::problem(
         405,
--- a/crates/daemon/src/http/reply.rs
+++ b/crates/daemon/src/http/reply.rs
@@ -40,6 +40,14 @@
     typed(status, "text/plain; charset=utf-8", body.into())
 }
 
+/// The answer to a question for readiness.
+pub fn readiness(ready: bool) -> Response<BoxBody> {
+    match ready {
+        true => text(200, "ready\n"),
+        false => text(503, "not ready\n"),
+    }
+}
+
 /// An answer that tells of a problem, as `application/problem+json`.
 ///
 /// `ran` says what may have run; `retry_after` when a new try is worth while.
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -41,8 +41,7 @@
     let path = request.path().to_owned();
     let method = request.method().as_str().to_owned();
     match (method.as_str(), path.as_str()) {
-        ("GET", "/ready") if node.is_ready() => return http::text(200, "ready\n"),
-        ("GET", "/ready") => return http::text(503, "not ready\n"),
+        ("GET", "/ready") => return http::readiness(node.is_ready()),
         ("GET", "/metrics") => {
             status::measure(&node);
             return http::text(200, metrics.render());
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -26,7 +26,7 @@
 const MAX_VERDICTS: usize = 64;
 
 /// Engines in one message's load hints.
-const MAX_HINTS: usize = 64;
+pub const MAX_HINTS: usize = 8;
 
 /// Exchanges with peers for the life of the daemon.
 pub async fn run(node: Rc<Node>) {
@@ -183,18 +183,20 @@
     notices.into_iter().map(verdict).collect()
 }
 
+/// The engines on which most of this instance's prompt tokens wait.
 fn loads(node: &Node) -> Vec<v1::LoadHint> {
     let dispatcher = node.dispatcher.borrow();
     let engines = dispatcher.fleet().engines().iter();
-    engines
-        .map(|engine| (engine, engine.load.own_unread()))
-        .filter(|(_, tokens)| tokens.get() > 0)
-        .take(MAX_HINTS)
-        .map(|(engine, tokens)| v1::LoadHint {
+    let mut hints: Vec<v1::LoadHint> = engines
+        .map(|engine| v1::LoadHint {
             engine: engine.facts.id.to_string(),
-            prefill_tokens: tokens.get(),
+            prefill_tokens: engine.load.own_unread().get(),
         })
-        .collect()
+        .filter(|hint| hint.prefill_tokens > 0)
+        .collect();
+    hints.sort_by_key(|hint| std::cmp::Reverse(hint.prefill_tokens));
+    hints.truncate(MAX_HINTS);
+    hints
 }
 
 fn learn(node: &Rc<Node>, peer: &str, news: News) {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -4,11 +4,10 @@
 
 mod check;
 
-use std::{fs, io::Read, path::Path};
+use std::{fs, path::Path};
 
 use anyhow::Context;
-use cyclamengauge_schema::v1;
-use json_comments::StripComments;
+use cyclamengauge_schema::{parse_json, v1};
 
 pub use check::check;
 
@@ -19,11 +18,7 @@
 /// If the file cannot be read, is no JSON, or has unknown fields.
 pub fn read<T: serde::de::DeserializeOwned>(path: &Path) -> anyhow::Result<T> {
     let bytes = fs::read(path).with_context(|| format!("read {}", path.display()))?;
-    let mut text = String::new();
-    StripComments::new(&bytes[..])
-        .read_to_string(&mut text)
-        .with_context(|| format!("read {}", path.display()))?;
-    serde_json::from_str(&text).with_context(|| format!("parse {}", path.display()))
+    parse_json(&bytes).with_context(|| format!("parse {}", path.display()))
 }
 
 /// Reads the settings and reports every fault in one error.
--- a/crates/load/src/capacity/lines.rs
+++ b/crates/load/src/capacity/lines.rs
@@ -1,6 +1,7 @@
 //! The arithmetic: one line for each cost of each role.
 
 use cyclamengauge_core::routing;
+use cyclamengauge_daemon::peers;
 
 use crate::{capacity::Size, slopes::Slopes};
 
@@ -118,7 +119,7 @@
 pub fn lines(size: &Size, slopes: &Slopes) -> anyhow::Result<Vec<Line>> {
     let mut all = Vec::new();
     router(size, slopes, &mut all)?;
-    peers(size, slopes, &mut all)?;
+    dissemination(size, slopes, &mut all)?;
     store(size, slopes, &mut all)?;
     data_plane(size, slopes, &mut all)?;
     Ok(all)
@@ -222,12 +223,12 @@
 }
 
 /// Engines named in an exchange: those on which this instance's prompts wait,
-/// each for the time to first token, and 32 at most.
+/// each for the time to first token, up to the most that a message names.
 fn named(size: &Size) -> f64 {
-    (size.requests_per_daemon() * 0.3).min(WATCHED)
+    (size.requests_per_daemon() * 0.3).min(peers::MAX_HINTS as f64)
 }
 
-fn peers(size: &Size, slopes: &Slopes, all: &mut Vec<Line>) -> anyhow::Result<()> {
+fn dissemination(size: &Size, slopes: &Slopes, all: &mut Vec<Line>) -> anyhow::Result<()> {
     let time = slopes.get("exchange_us")?;
     let named = named(size);
     let rate = 2.0 * EXCHANGES_PER_S;
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -8,6 +8,7 @@
 
 mod compare;
 mod figures;
+mod parts;
 mod world;
 
 pub use compare::{CompareOptions, compare, compare_options};
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -7,23 +7,28 @@
 };
 
 use cyclamengauge_core::{
-    admission,
     clock::Instant,
     dispatch::{self, Action, Dispatcher, Failure, Outcome, Probed, Sending},
-    ids::{AccountId, AttemptId, EngineId, ModelId, RequestId},
+    ids::{AttemptId, RequestId},
     recovery::reservation::Reply,
-    request::{Fingerprint, Prefix, PrefixHash, Refusal, Request},
-    routing::{self, Backlog, CacheEvent, Policy},
+    request::{Prefix, PrefixHash, Refusal, Request},
+    routing::{self, Policy},
     units::{Tokens, TokensPerSecond},
 };
 
 use crate::{
-    experiment::Figures,
-    model::{self, Arrival, Deployment, Engine, Job, Output, Spec},
+    experiment::{
+        Figures,
+        parts::{
+            self, EngineState, Snapshot, ToEngine, ToInstance, account_id, attempt_of, engine_id,
+            engine_index, fingerprint, job_of, model_id, reservation_name,
+        },
+    },
+    model::{self, Arrival, Deployment, Job, Output, Spec},
 };
 
 /// Instances that share the traffic.
-const INSTANCES: usize = 4;
+pub(super) const INSTANCES: usize = 4;
 
 /// Data centres over which instances and engines are spread.
 const DATA_CENTRES: usize = 3;
@@ -37,9 +42,6 @@
 /// Time for which a run goes on after its last arrival.
 const RUN_OUT: Duration = Duration::from_secs(240);
 
-/// Bits of a job's number that hold the attempt; the rest is the instance.
-const ATTEMPT_BITS: u32 = 48;
-
 /// Client accounts in the mix.
 const ACCOUNTS: usize = 10;
 
@@ -78,59 +80,6 @@
     world.figures(conditions.time)
 }
 
-/// A message to an engine.
-#[derive(Clone, Debug)]
-enum ToEngine {
-    Submit {
-        instance: usize,
-        job: Job,
-    },
-    Cancel {
-        job: u64,
-    },
-    Reserve {
-        instance: usize,
-        attempt: AttemptId,
-        memory: u64,
-    },
-    Release {
-        instance: usize,
-        attempt: AttemptId,
-    },
-    Report {
-        instance: usize,
-    },
-}
-
-/// A message to an instance.
-#[derive(Clone, Debug)]
-enum ToInstance {
-    First {
-        attempt: AttemptId,
-        /// Its position in the answer.
-        first: u64,
-    },
-    Done {
-        attempt: AttemptId,
-    },
-    SegmentDone {
-        attempt: AttemptId,
-    },
-    Failed {
-        attempt: AttemptId,
-        failure: Failure,
-    },
-    Reserved {
-        attempt: AttemptId,
-        reply: Reply,
-    },
-    Released {
-        attempt: AttemptId,
-    },
-    Dead,
-    Report,
-}
-
 #[derive(Clone, Debug)]
 enum Event {
     Arrive(usize),
@@ -151,26 +100,6 @@
     Kill(usize),
 }
 
-/// A report on its way.
-#[derive(Clone, Debug)]
-struct Snapshot {
-    load: routing::Report,
-    first_event: u64,
-    events: Vec<CacheEvent>,
-}
-
-struct EngineState {
-    engine: Engine,
-    busy: bool,
-    alive: bool,
-    epoch: u64,
-    /// Which instance sent each job, and the position of its first token.
-    owners: HashMap<u64, (usize, u64)>,
-    /// Cache changes by number, for instances that lag behind each other.
-    changes: Vec<CacheEvent>,
-    sent_changes: Vec<usize>,
-}
-
 struct InstanceState {
     dispatcher: Dispatcher,
     heard_at: Vec<Instant>,
@@ -252,7 +181,7 @@
             max_ejected_share: 0.2,
         };
         let mut dispatcher = Dispatcher::new(settings.clone());
-        dispatcher.configure(settings, (0..ACCOUNTS).map(account).collect());
+        dispatcher.configure(settings, (0..ACCOUNTS).map(parts::account).collect());
         for engine in 0..conditions.engines {
             let id = engine_id(engine);
             let facts = routing::EngineFacts {
@@ -757,82 +686,3 @@
         figures
     }
 }
-
-impl EngineState {
-    fn new(spec: Spec) -> Self {
-        Self {
-            engine: Engine::new(spec),
-            busy: false,
-            alive: true,
-            epoch: 0,
-            owners: HashMap::new(),
-            changes: Vec::new(),
-            sent_changes: vec![0; INSTANCES],
-        }
-    }
-
-    fn snapshot(&mut self, instance: usize) -> Snapshot {
-        let (_, fresh) = self.engine.cache_mut().take_events();
-        self.changes
-            .extend(fresh.into_iter().map(|(hash, evicted)| match evicted {
-                true => CacheEvent::Evicted(PrefixHash(hash)),
-                false => CacheEvent::Stored(PrefixHash(hash)),
-            }));
-        let first = self.sent_changes[instance];
-        self.sent_changes[instance] = self.changes.len();
-        Snapshot {
-            load: routing::Report {
-                backlog: Backlog::from_levels(&self.engine.unread()),
-                running: self.engine.running() as u32,
-                waiting: self.engine.waiting() as u32,
-                reserved: Tokens(self.engine.reserved()),
-            },
-            first_event: first as u64,
-            events: self.changes[first..].to_vec(),
-        }
-    }
-}
-
-fn account(number: usize) -> admission::AccountLimits {
-    admission::AccountLimits {
-        account: account_id(number),
-        weight: if number < 3 { 4.0 } else { 1.0 },
-        requests_per_s: 1e9,
-        prompt_tokens_per_s: 1e12,
-        max_concurrent: 1_000_000,
-    }
-}
-
-fn account_id(number: usize) -> AccountId {
-    AccountId::new(format!("account-{number}"))
-}
-
-fn model_id() -> ModelId {
-    ModelId::new("model")
-}
-
-fn engine_id(index: usize) -> EngineId {
-    EngineId::new(format!("e{index}"))
-}
-
-fn engine_index(id: &EngineId) -> usize {
-    id.as_str()[1..].parse().unwrap_or(0)
-}
-
-fn job_of(instance: usize, attempt: AttemptId) -> u64 {
-    (instance as u64) << ATTEMPT_BITS | attempt.0
-}
-
-fn attempt_of(job: u64) -> AttemptId {
-    AttemptId(job & ((1 << ATTEMPT_BITS) - 1))
-}
-
-fn reservation_name(instance: usize, attempt: AttemptId) -> String {
-    format!("{instance}-{}", attempt.0)
-}
-
-fn fingerprint(number: usize) -> Fingerprint {
-    let mut bytes = [0; 16];
-    bytes[..8].copy_from_slice(&(number as u64).to_le_bytes());
-    Fingerprint(bytes)
-}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -20,6 +20,34 @@
 `cargo run -p cyclamengauge-schema-gen`.
 */
 
+use std::io::Read;
+
+use json_comments::StripComments;
+use serde::de::DeserializeOwned;
+
+/// Reads JSON that may carry `//` and `/* */` comments.
+///
+/// # Errors
+///
+/// If the text is no JSON or has unknown fields.
+///
+/// # Example
+///
+/// ```
+/// use cyclamengauge_schema::{parse_json, v1};
+///
+/// let text = b"{\n// Meadows only.\n\"name\": \"meadow\"}";
+/// let model: v1::Model = parse_json(text).unwrap();
+/// assert_eq!(model.name, "meadow");
+/// ```
+pub fn parse_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, serde_json::Error> {
+    let mut text = String::new();
+    StripComments::new(bytes)
+        .read_to_string(&mut text)
+        .map_err(serde_json::Error::io)?;
+    serde_json::from_str(&text)
+}
+
 /// Version 1 of the schema.
 #[allow(missing_docs, clippy::all, rustdoc::all)]
 pub mod v1 {
