--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -236,7 +236,13 @@
 
     /// Notes that an attempt delivered the whole answer.
     pub fn completed(&mut self, attempt: AttemptId, now: Instant) -> Vec<Action> {
-        if let Some(id) = self.attempts.get(&attempt).copied() {
+        let id = self.attempts.get(&attempt).copied();
+        // A suspended attempt's connection is broken, so what it says is no end.
+        let running = |id: &RequestId| {
+            let flight = self.flights.get(id);
+            flight.is_some_and(|flight| flight.phase == Phase::Running)
+        };
+        if let Some(id) = id.filter(running) {
             self.clear_suspicion(id);
             self.finish(id, Outcome::Completed, now);
         }
