Run suspects of each instance on engines of its own

Two instances had run suspects alone on the same emptiest engine; the guilty one crashed it and both were condemned. Ruled out: the mass failure rule and resent copies, which played no part in the log. Change: engines are shared out among the instances by a rank over all declared engines, open or not, and suspects run on an instance's own; elsewhere only a third crash condemns. Also: an answer is itself the body of its response and a burst is written at once; metrics for queue time and retries; a test over sockets for an engine that is listed as leaving.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -151,7 +151,9 @@
 
     /// Removes engines that are declared no more.
     pub fn keep_engines(&mut self, declared: impl Fn(&EngineId) -> bool, now: Instant) {
-        self.members.keep(declared);
+        self.members.keep(&declared);
+        self.fleet.keep(&declared);
+        self.fleet.rebalance(now);
         self.refresh_all(now);
     }
 
@@ -335,6 +337,8 @@
             plan,
             resume_from: flight.position,
             deadline: flight.request.deadline,
+            failures: flight.failures,
+            waited: now - flight.arrived_at,
         }));
     }
 
--- a/crates/core/src/dispatch/flight.rs
+++ b/crates/core/src/dispatch/flight.rs
@@ -30,6 +30,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Flight {
     pub(crate) request: Request,
+    pub(crate) arrived_at: Instant,
     pub(crate) phase: Phase,
     pub(crate) attempt: Option<AttemptId>,
     pub(crate) plan: Option<Plan>,
@@ -53,6 +54,7 @@
     pub(crate) fn new(request: Request, deadline: timer::Handle, now: Instant) -> Self {
         Self {
             request,
+            arrived_at: now,
             phase: Phase::Waiting,
             attempt: None,
             plan: None,
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -39,6 +39,10 @@
         pub resume_from: u64,
         /// When the answer must be complete.
         pub deadline: Instant,
+        /// Attempts of the request that failed before.
+        pub failures: u32,
+        /// Time since the request arrived.
+        pub waited: Duration,
     }
 
     /// How a request ended.
--- a/crates/core/src/dispatch/suspects.rs
+++ b/crates/core/src/dispatch/suspects.rs
@@ -24,9 +24,9 @@
 /// infrastructure, and what ran on them is not run alone.
 const MASS_DEATHS: usize = 3;
 
-/// Earlier crashes that prove a request on a group of engines guilty; it cannot
-/// run alone, so one more is needed than for others.
-const GROUP_CRASHES: u32 = 2;
+/// Crashes that do not yet prove a request guilty if it runs on a group of
+/// engines, or alone on an engine where another instance may run a suspect too.
+const SHARED_CRASHES: u32 = 2;
 
 /// Crashes that prove a content guilty even amid a mass failure, which it may
 /// itself be the cause of.
@@ -41,6 +41,9 @@
     request: RequestId,
     since: Instant,
     sent: bool,
+    /// Whether no other instance would run a suspect there, so that a crash
+    /// proves this one guilty.
+    exclusive: bool,
 }
 
 impl Dispatcher {
@@ -155,7 +158,10 @@
         let content = flight.request.fingerprint;
         let crashes = self.quarantine.crashes(&content, now) + 1;
         let group = flight.is_group();
-        let seen_alone = flight.alone || (group && crashes > GROUP_CRASHES);
+        let isolation = self.isolations.get(engine);
+        let exclusive = flight.alone && isolation.is_some_and(|i| i.exclusive);
+        let shared = group || flight.alone;
+        let seen_alone = exclusive || (shared && crashes > SHARED_CRASHES);
         let guilty = match mass_failure {
             false => seen_alone,
             true => seen_alone && crashes >= MASS_CRASHES,
@@ -229,8 +235,10 @@
             .iter()
             .filter(|e| e.open && !e.isolated && e.facts.model == model)
             .filter(|e| e.facts.memory >= memory);
-        let emptiest = usable.min_by_key(|e| e.load.requests());
-        let Some(engine) = emptiest.map(|e| e.facts.id.clone()) else {
+        // Each instance has engines of its own for this, so two suspects of
+        // different instances do not meet.
+        let best = usable.min_by_key(|e| (!e.preferred, e.load.requests()));
+        let Some((engine, exclusive)) = best.map(|e| (e.facts.id.clone(), e.preferred)) else {
             return false;
         };
         self.fleet.set_isolated(&engine, true);
@@ -238,6 +246,7 @@
             request: id,
             since: now,
             sent: false,
+            exclusive,
         };
         self.isolations.insert(engine, isolation);
         true
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -134,6 +134,8 @@
     /// Whether this instance, of all that share the engine, should come here
     /// first with short requests.
     pub preferred: bool,
+    /// Whether the declaration in force names it.
+    declared: bool,
     next_cache_event: u64,
 }
 
@@ -204,7 +206,10 @@
     /// Adds an engine, or replaces the facts of the one with that name.
     pub fn upsert(&mut self, facts: EngineFacts) {
         match self.by_id.get(&facts.id) {
-            Some(index) => self.engines[*index].facts = facts,
+            Some(index) => {
+                self.engines[*index].facts = facts;
+                self.engines[*index].declared = true;
+            }
             None => {
                 self.by_id.insert(facts.id.clone(), self.engines.len());
                 self.engines.push(Engine {
@@ -214,6 +219,7 @@
                     isolated: false,
                     long_home: false,
                     preferred: false,
+                    declared: true,
                     next_cache_event: 0,
                 });
             }
@@ -221,6 +227,13 @@
         self.rebuild_open();
     }
 
+    /// Notes which engines are declared still.
+    pub fn keep(&mut self, declared: impl Fn(&EngineId) -> bool) {
+        for engine in &mut self.engines {
+            engine.declared = declared(&engine.facts.id);
+        }
+    }
+
     /// Opens an engine to new requests, or closes it.
     pub fn set_open(&mut self, id: &EngineId, open: bool) {
         let Some(index) = self.by_id.get(id) else {
@@ -310,6 +323,7 @@
 
     /// Reconsiders how many engines long prompts have as their own.
     pub fn rebalance(&mut self, now: Instant) {
+        self.share_out();
         let models: Vec<ModelId> = self.open.keys().cloned().collect();
         for model in models {
             self.rebalance_model(&model, now);
@@ -342,6 +356,28 @@
         TokensPerSecond(open.map(|index| self.engines[*index].facts.prefill.0).sum())
     }
 
+    /// Gives each declared engine to one instance in turn. Whether an engine is
+    /// open plays no part, as instances learn of that at different times and must
+    /// agree all the same.
+    fn share_out(&mut self) {
+        let mut ranked: Vec<EngineIndex> = (0..self.engines.len()).collect();
+        ranked.retain(|index| self.engines[*index].declared);
+        ranked.sort_by_key(|index| self.rank(*index));
+        let mut turns: BTreeMap<ModelId, u32> = BTreeMap::new();
+        for index in ranked {
+            let turn = turns
+                .entry(self.engines[index].facts.model.clone())
+                .or_default();
+            let own = *turn % self.settings.instances.max(1) == self.settings.index;
+            self.engines[index].preferred = own;
+            *turn += 1;
+        }
+    }
+
+    fn rank(&self, index: EngineIndex) -> u64 {
+        hash::mix(hash::text(self.engines[index].facts.id.as_str()))
+    }
+
     /// All instances place the long prompts on the same engines: those whose
     /// names hash lowest.
     fn rebalance_model(&mut self, model: &ModelId, now: Instant) {
@@ -353,11 +389,9 @@
             .mix
             .long_engines(open.len(), speed, self.settings.instances, now);
         let mut ranked = open.clone();
-        ranked.sort_by_key(|index| hash::mix(hash::text(self.engines[*index].facts.id.as_str())));
+        ranked.sort_by_key(|index| self.rank(*index));
         for (position, index) in ranked.into_iter().enumerate() {
             self.engines[index].long_home = position < count;
-            let turn = position as u32 % self.settings.instances.max(1);
-            self.engines[index].preferred = turn == self.settings.index;
         }
     }
 
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -305,3 +305,42 @@
     assert_eq!(refused.reason, Reason::Quarantined);
     report_all(&mut farm.dispatcher, 0, ms(farm.now));
 }
+
+#[test]
+fn suspects_of_two_instances_never_share_an_engine() {
+    let settings = |index| cyclamengauge_core::dispatch::Settings {
+        fleet: cyclamengauge_core::routing::FleetSettings {
+            instances: 2,
+            index,
+            seed: u64::from(index),
+            ..Default::default()
+        },
+        ..Default::default()
+    };
+    let mut engines = BTreeSet::new();
+    for index in 0..2 {
+        let mut dispatcher = common::with_settings(ENGINES, settings(index));
+        let sending: Vec<Sending> = (0..40)
+            .flat_map(|i| sent(&dispatcher.arrive(request(i, 2_000), ms(1))))
+            .collect();
+        let down = engine_id(0);
+        let hit = sending.iter().filter(|s| lead(s) == down);
+        for sending in hit {
+            dispatcher.failed(sending.attempt, Failure::Broken, ms(2));
+        }
+        // One instance knows already that another engine is down, too.
+        if index == 0 {
+            dispatcher.probed(&engine_id(5), Probed::Dead, ms(2));
+        }
+        let actions = dispatcher.probed(&down, Probed::Dead, ms(2));
+        let later = run_timers(&mut dispatcher, ms(2_000));
+        let alone = sent(&actions).into_iter().chain(sent(&later));
+        for sending in alone.filter(|s| s.plan.choice.to_string() == "isolated") {
+            assert!(engines.insert((lead(&sending), index)));
+        }
+    }
+    let names: BTreeSet<&EngineId> = engines.iter().map(|(id, _)| id).collect();
+    let instances: BTreeSet<u32> = engines.iter().map(|(_, index)| *index).collect();
+    assert_eq!(instances.len(), 2, "{engines:?}");
+    assert_eq!(names.len(), engines.len(), "{engines:?}");
+}
--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -1,10 +1,16 @@
 //! Completions, streamed or whole.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::RefCell,
+    convert::Infallible,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
 
 use actix_http::{
     Request, Response,
-    body::BoxBody,
+    body::{BodySize, BoxBody, MessageBody},
     header::{HeaderName, HeaderValue},
 };
 use bytes::Bytes;
@@ -83,6 +89,45 @@
     created_s: u64,
 }
 
+/// A streamed answer as a body. It is dropped with the caller's connection, and
+/// the answer's guard then tells the dispatcher.
+struct AnswerBody {
+    answer: Answer,
+    first: Option<TextPiece>,
+}
+
+impl MessageBody for AnswerBody {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Stream
+    }
+
+    /// Takes all pieces that are there, so that a burst is written at once.
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        let body = &mut *self;
+        let mut text = Vec::with_capacity(CHUNK_BYTES);
+        if let Some(first) = body.first.take() {
+            body.answer.write(Piece::Text(first), &mut text);
+        }
+        while !body.answer.guard.ended {
+            match body.answer.pieces.poll_recv(cx) {
+                Poll::Ready(received) => {
+                    let piece = body.answer.received(received);
+                    body.answer.write(piece, &mut text);
+                }
+                Poll::Pending if text.is_empty() => return Poll::Pending,
+                Poll::Pending => break,
+            }
+        }
+        let chunk = (!text.is_empty()).then(|| Ok(Bytes::from(text)));
+        Poll::Ready(chunk)
+    }
+}
+
 /// One event of a streamed answer.
 #[derive(Serialize)]
 struct Chunk<'a> {
@@ -260,41 +305,23 @@
             },
         };
         self.note_first(0);
-        let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
-        let (alive, gone) = mpsc::channel::<()>(1);
-        actix_rt::spawn(self.pump(first, sender, alive));
-        http::streamed(http::Chunks::new(receiver, gone))
+        http::streamed(AnswerBody {
+            answer: self,
+            first: Some(first),
+        })
     }
 
-    /// Feeds the body; ends when the answer does or the caller has gone.
-    async fn pump(
-        mut self,
-        first: TextPiece,
-        sender: mpsc::Sender<Bytes>,
-        alive: mpsc::Sender<()>,
-    ) {
-        let mut piece = Piece::Text(first);
-        loop {
-            let last = matches!(piece, Piece::End(_));
-            let chunk = self.chunk(piece);
-            if sender.send(chunk).await.is_err() || last {
-                return;
-            }
-            piece = tokio::select! {
-                piece = self.next() => piece,
-                () = alive.closed() => return,
-            };
-        }
+    async fn next(&mut self) -> Piece {
+        let received = self.pieces.recv().await;
+        self.received(received)
     }
 
-    async fn next(&mut self) -> Piece {
-        let piece = match self.pieces.recv().await {
-            Some(piece) => piece,
-            None => {
-                let end = self.end.borrow_mut().take();
-                Piece::End(end.unwrap_or(Outcome::Abandoned))
-            }
-        };
+    /// The piece that came, or the end if the channel is closed.
+    fn received(&mut self, received: Option<Piece>) -> Piece {
+        let piece = received.unwrap_or_else(|| {
+            let end = self.end.borrow_mut().take();
+            Piece::End(end.unwrap_or(Outcome::Abandoned))
+        });
         if matches!(piece, Piece::End(_)) {
             self.guard.ended = true;
         }
@@ -308,16 +335,20 @@
         }
     }
 
-    fn chunk(&self, piece: Piece) -> Bytes {
+    /// Appends the event for a piece.
+    fn write(&self, piece: Piece, text: &mut Vec<u8>) {
         match piece {
-            Piece::Text(piece) => event(&self.text_chunk(piece)),
-            Piece::End(Outcome::Completed) => Bytes::from_static(b"data: [DONE]\n\n"),
-            Piece::End(Outcome::Refused(refusal)) => error_event(&refusal),
-            Piece::End(Outcome::Abandoned) => error_event(&Refusal {
-                reason: Reason::TargetsFailed,
-                ran: Ran::Partial,
-                retry_after: None,
-            }),
+            Piece::Text(piece) => event(&self.text_chunk(piece), text),
+            Piece::End(Outcome::Completed) => text.extend_from_slice(b"data: [DONE]\n\n"),
+            Piece::End(Outcome::Refused(refusal)) => error_event(&refusal, text),
+            Piece::End(Outcome::Abandoned) => {
+                let refusal = Refusal {
+                    reason: Reason::TargetsFailed,
+                    ran: Ran::Partial,
+                    retry_after: None,
+                };
+                error_event(&refusal, text);
+            }
         }
     }
 
@@ -370,24 +401,22 @@
     }
 }
 
-fn event(chunk: &Chunk<'_>) -> Bytes {
-    let mut text = Vec::with_capacity(CHUNK_BYTES);
+fn event(chunk: &Chunk<'_>, text: &mut Vec<u8>) {
     text.extend_from_slice(b"data: ");
     // Writing to memory cannot fail, and the types have no maps with odd keys.
-    let _ = serde_json::to_writer(&mut text, chunk);
+    let _ = serde_json::to_writer(&mut *text, chunk);
     text.extend_from_slice(b"\n\n");
-    Bytes::from(text)
 }
 
 /// The end of a stream that broke; no `[DONE]` follows.
-fn error_event(refusal: &Refusal) -> Bytes {
+fn error_event(refusal: &Refusal, text: &mut Vec<u8>) {
     let error = json!({"error": {
         "type": format!("urn:cyclamengauge:problem:{}", refusal.reason),
         "message": callers::detail(refusal.reason),
         "ran": refusal.ran.to_string(),
         "retry_after_s": refusal.retry_after.map(|time| time.as_secs()),
     }});
-    Bytes::from(format!("event: error\ndata: {error}\n\n"))
+    text.extend_from_slice(format!("event: error\ndata: {error}\n\n").as_bytes());
 }
 
 fn abandoned() -> Response<BoxBody> {
--- a/crates/daemon/src/http/reply.rs
+++ b/crates/daemon/src/http/reply.rs
@@ -78,12 +78,12 @@
         .map_into_boxed_body()
 }
 
-/// A stream of server-sent events, fed through a channel.
-pub fn streamed(chunks: Chunks) -> Response<BoxBody> {
+/// A stream of server-sent events.
+pub fn streamed(body: impl MessageBody + 'static) -> Response<BoxBody> {
     Response::build(StatusCode::OK)
         .insert_header(("content-type", "text/event-stream"))
         .insert_header(("cache-control", "no-store"))
-        .body(BoxBody::new(chunks))
+        .body(BoxBody::new(body))
         .map_into_boxed_body()
 }
 
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -42,6 +42,10 @@
     let plan = &sending.plan;
     metrics::counter!("cyclamengauge_attempts_total", "choice" => plan.choice.to_string())
         .increment(1);
+    match sending.failures {
+        0 => metrics::histogram!("cyclamengauge_queue_seconds").record(sending.waited),
+        _ => metrics::counter!("cyclamengauge_retries_total").increment(1),
+    }
     if !line_allowed() {
         return;
     }
--- a/crates/load/src/harness/fleet.rs
+++ b/crates/load/src/harness/fleet.rs
@@ -197,6 +197,29 @@
             .await
     }
 
+    /// Makes the platform's list name a target as leaving.
+    ///
+    /// # Errors
+    ///
+    /// If the platform does not answer.
+    pub async fn list_leaving(&self, name: &str) -> anyhow::Result<()> {
+        let list = v1::InstanceList {
+            instances: vec![v1::ListedInstance {
+                name: name.to_owned(),
+                state: v1::ListedState::Leaving.into(),
+            }],
+        };
+        let url = format!("http://{}/v1/instances", self.platform.address);
+        let sent = self.http.put(url).send_json(&list).await;
+        let response = sent.map_err(|err| anyhow::anyhow!("list: {err}"))?;
+        anyhow::ensure!(
+            response.status().is_success(),
+            "list: {}",
+            response.status()
+        );
+        Ok(())
+    }
+
     /// Makes an engine stall its streams, or ends that.
     ///
     /// # Errors
--- a/crates/load/src/model/engine.rs
+++ b/crates/load/src/model/engine.rs
@@ -153,6 +153,11 @@
         self.waiting.len()
     }
 
+    /// Jobs taken in since the start.
+    pub fn submitted(&self) -> u64 {
+        self.arrivals
+    }
+
     /// Memory in use by jobs and reservations.
     pub fn reserved(&self) -> u64 {
         let jobs: u64 = self.running.iter().map(|r| r.job.memory).sum();
--- a/crates/load/src/standins/report.rs
+++ b/crates/load/src/standins/report.rs
@@ -47,6 +47,7 @@
         memory_tokens: engine.spec().memory_tokens,
         reservations: reservations(engine, held),
         first_cache_event: first,
+        requests: engine.submitted(),
         cache_events: events
             .into_iter()
             .map(|(prefix, evicted)| v1::CacheEvent { prefix, evicted })
--- a/crates/load/tests/sockets.rs
+++ b/crates/load/tests/sockets.rs
@@ -450,3 +450,27 @@
         Ok(())
     });
 }
+
+#[test]
+fn engine_listed_as_leaving_gets_nothing_new() {
+    run(async {
+        let fleet = fleet(2, 1).await?;
+        let (caller, daemons) = (Caller::new(), daemons(&fleet));
+        fleet.list_leaving("e1").await?;
+        fleet
+            .until("the leaving engine", async || {
+                let status = fleet.status(0).await?;
+                Ok(status
+                    .engines
+                    .iter()
+                    .any(|e| e.name == "e1" && e.state == "leaving"))
+            })
+            .await?;
+        let before = fleet.report(1).await?.requests;
+        let ends = send(&caller, &daemons, 10, 5).await;
+        assert!(ends.iter().all(|ended| *ended == Ended::Whole), "{ends:?}");
+        assert_eq!(fleet.report(1).await?.requests, before);
+        assert!(fleet.report(0).await?.requests >= 10);
+        Ok(())
+    });
+}
