Send the news at once to a peer found to be behind

Cause: an instance sends a configuration only to a peer whose version it knows. Among 2,600 instances it knows few, so a push carried no news to the others. Change: a peer whose answer shows it behind is exchanged with again at once.

--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -106,33 +106,46 @@
     Some(client)
 }
 
+/// Exchanges with one peer. A peer that turns out to be behind, of which nothing
+/// was known before, is sent the news at once.
 async fn one(node: Rc<Node>, mut client: PeerClient<Channel>, peer: String) {
+    let Some(version) = exchange(&node, &mut client, &peer).await else {
+        return;
+    };
+    if version < node.current.borrow().version() {
+        exchange(&node, &mut client, &peer).await;
+    }
+}
+
+/// Sends one message; returns the version that the peer has, if it answers.
+async fn exchange(node: &Rc<Node>, client: &mut PeerClient<Channel>, peer: &str) -> Option<u64> {
     let key = decode(&node.settings.peer_key).unwrap_or_default();
-    let mut message = request(&node, &peer);
+    let mut message = request(node, peer);
     mac::sign_request(&mut message, &key);
     metrics::counter!("cyclamengauge_peer_exchanges_total").increment(1);
-    match client.exchange(message).await {
-        Ok(reply) => {
-            let reply = reply.into_inner();
-            if !mac::verify_reply(&reply, &key) {
-                tracing::warn!(%peer, "peer: the reply of {peer} has a wrong MAC");
-                return;
-            }
-            let news = News {
-                version: reply.version,
-                accepted: reply.accepted,
-                deltas: reply.deltas,
-                verdicts: reply.verdicts,
-                loads: reply.loads,
-                leaving: false,
-            };
-            learn(&node, &peer, news);
-        }
+    let reply = match client.exchange(message).await {
+        Ok(reply) => reply.into_inner(),
         Err(status) => {
             tracing::debug!(%peer, %status, "peer: {peer} does not answer");
             metrics::counter!("cyclamengauge_peer_failures_total").increment(1);
+            return None;
         }
+    };
+    if !mac::verify_reply(&reply, &key) {
+        tracing::warn!(%peer, "peer: the reply of {peer} has a wrong MAC");
+        return None;
     }
+    let version = reply.version;
+    let news = News {
+        version,
+        accepted: reply.accepted,
+        deltas: reply.deltas,
+        verdicts: reply.verdicts,
+        loads: reply.loads,
+        leaving: false,
+    };
+    learn(node, peer, news);
+    Some(version)
 }
 
 fn request(node: &Node, peer: &str) -> v1::ExchangeRequest {
