Make the tests over sockets independent of timing and of each other's ports

Cause: one run failed as a process found its port taken: ports were freed before the process took them, and an outgoing connection had got one in between. Two tests could also lose the reply to a lease renewal instead of a claim's, or kill a daemon before its claim was written. Change: each installation listens on a loopback address of its own, from which no connection starts; the platform stand-in can lose replies of claims alone and counts claims, for which a test waits instead of 150 ms; waiting is bounded by 60 s.

--- a/crates/load/src/harness/fleet.rs
+++ b/crates/load/src/harness/fleet.rs
@@ -1,7 +1,7 @@
 //! Starts and stops an installation.
 
 use std::{
-    net::TcpListener,
+    net::{Ipv4Addr, TcpListener},
     path::{Path, PathBuf},
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
@@ -17,7 +17,7 @@
 };
 
 /// Time for an installation to become ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Time between two looks whether something has come about.
 const POLL: Duration = Duration::from_millis(50);
@@ -197,6 +197,32 @@
             .await
     }
 
+    /// Reads and writes that the platform has seen.
+    ///
+    /// # Errors
+    ///
+    /// If the platform does not answer.
+    pub async fn store_counts(&self) -> anyhow::Result<(u64, u64)> {
+        let counts = self.counts().await?;
+        let number = |name: &str| counts[name].as_u64().unwrap_or(0);
+        Ok((number("reads"), number("writes")))
+    }
+
+    /// Rows with claims of non-idempotent calls.
+    ///
+    /// # Errors
+    ///
+    /// If the platform does not answer.
+    pub async fn claims(&self) -> anyhow::Result<u64> {
+        let counts = self.counts().await?;
+        Ok(counts["claims"].as_u64().unwrap_or(0))
+    }
+
+    async fn counts(&self) -> anyhow::Result<serde_json::Value> {
+        let url = format!("http://{}/counts", self.platform.address);
+        answer(self.http.get(url).send()).await
+    }
+
     /// Makes the platform's list name a target as leaving.
     ///
     /// # Errors
@@ -372,10 +398,13 @@
     arguments
 }
 
-/// Addresses with ports that the system has free now.
+/// Addresses with ports that the system has free now, on a loopback address of
+/// this installation's own. Outgoing connections come from 127.0.0.1, so none of
+/// them can take a port between here and the start of the process it is for.
 fn free_addresses(count: usize) -> anyhow::Result<Vec<String>> {
+    let own = own_address();
     let bound: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .map(|_| TcpListener::bind((own, 0)))
         .collect::<Result<_, _>>()
         .context("find free ports")?;
     bound
@@ -384,6 +413,14 @@
         .collect()
 }
 
+/// A loopback address that differs between processes and installations.
+fn own_address() -> Ipv4Addr {
+    static NUMBER: AtomicU32 = AtomicU32::new(1);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 200, low, 1 + (number % 250) as u8)
+}
+
 fn scratch_folder() -> anyhow::Result<PathBuf> {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
--- a/crates/load/src/slopes/live.rs
+++ b/crates/load/src/slopes/live.rs
@@ -171,15 +171,8 @@
 
 /// Reads and writes that the table service and the object store have seen.
 async fn counts(fleet: &Fleet) -> anyhow::Result<(f64, f64)> {
-    let url = format!("http://{}/counts", fleet.platform.address);
-    let mut response = fleet.http.get(url).send().await;
-    let response = response
-        .as_mut()
-        .map_err(|err| anyhow::anyhow!("counts: {err}"))?;
-    let body = response.body().await?;
-    let value: serde_json::Value = serde_json::from_slice(&body)?;
-    let number = |name: &str| value[name].as_f64().unwrap_or(0.0);
-    Ok((number("reads"), number("writes")))
+    let (reads, writes) = fleet.store_counts().await?;
+    Ok((reads as f64, writes as f64))
 }
 
 /// Processor time that a process has used.
--- a/crates/load/src/standins/platform.rs
+++ b/crates/load/src/standins/platform.rs
@@ -20,6 +20,9 @@
 /// Time for which a lost reply keeps its caller waiting.
 const LOST_TIME: Duration = Duration::from_secs(30);
 
+/// Prefix of the rows with claims.
+const CLAIMS: &str = "once-";
+
 /// Options of the platform stand-in
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(generate(platform_options))]
@@ -39,6 +42,8 @@
     down: Cell<bool>,
     /// Writes still to take effect without a reply.
     lose_replies: Cell<u64>,
+    /// The same for claims of non-idempotent calls alone.
+    lose_claim_replies: Cell<u64>,
     delay_ms: Cell<u64>,
 }
 
@@ -58,7 +63,10 @@
         return set_fault(&state, fault, value);
     }
     if let ("GET", ["counts"]) = (method.as_str(), &parts[..]) {
-        let counts = json!({"reads": state.reads.get(), "writes": state.writes.get()});
+        let rows = state.rows.borrow();
+        let claims = rows.keys().filter(|key| key.starts_with(CLAIMS)).count();
+        let (reads, writes) = (state.reads.get(), state.writes.get());
+        let counts = json!({"reads": reads, "writes": writes, "claims": claims});
         return http::json(200, counts.to_string());
     }
     if state.delay_ms.get() > 0 {
@@ -100,6 +108,7 @@
     match fault {
         "down" => state.down.set(number > 0),
         "lose-replies" => state.lose_replies.set(number),
+        "lose-claim-replies" => state.lose_claim_replies.set(number),
         "delay-ms" => state.delay_ms.set(number),
         _ => return http::text(404, "no such fault\n"),
     }
@@ -119,13 +128,20 @@
     let if_version = server::number(request, "if-match");
     let value = server::body(request).await;
     let (status, row) = write(state, key, if_version, &value);
-    if status == 200 && state.lose_replies.get() > 0 {
-        state.lose_replies.set(state.lose_replies.get() - 1);
+    let claim = key.starts_with(CLAIMS) && take_one(&state.lose_claim_replies);
+    if status == 200 && (claim || take_one(&state.lose_replies)) {
         actix_rt::time::sleep(LOST_TIME).await;
     }
     row_answer(status, &row)
 }
 
+/// Uses up one of the faults still to come; false if there is none.
+fn take_one(faults: &Cell<u64>) -> bool {
+    let left = faults.get();
+    faults.set(left.saturating_sub(1));
+    left > 0
+}
+
 fn write(state: &State, key: &str, if_version: u64, value: &[u8]) -> (u16, v1::Row) {
     let mut rows = state.rows.borrow_mut();
     let version = rows.get(key).map_or(0, |row| row.version);
--- a/crates/load/tests/sockets.rs
+++ b/crates/load/tests/sockets.rs
@@ -246,7 +246,7 @@
     run(async {
         let fleet = fleet(1, 2).await?;
         let (caller, daemons) = (Caller::new(), daemons(&fleet));
-        fleet.platform_fault("lose-replies", 1).await?;
+        fleet.platform_fault("lose-claim-replies", 1).await?;
         let answer = caller.book(&daemons[0], 0, Some("k"), "lost reply").await;
         assert_eq!(answer.status, 201, "{answer:?}");
         assert_eq!(fleet.runs().await?["lost reply"], 1);
@@ -281,13 +281,17 @@
         let (caller, daemons) = (Caller::new(), daemons(&fleet));
         // The claim takes effect, its reply is lost, and the owner dies while it
         // waits; so the claim stands and the call has not run.
-        fleet.platform_fault("lose-replies", 1).await?;
+        fleet.platform_fault("lose-claim-replies", 1).await?;
         let booking = caller.book(&daemons[0], 0, Some("k"), "orphan");
         let killing = async {
-            actix_rt::time::sleep(Duration::from_millis(150)).await;
+            fleet
+                .until("the claim", async || Ok(fleet.claims().await? == 1))
+                .await?;
             fleet.daemons[0].kill();
+            anyhow::Ok(())
         };
-        future::join(booking, killing).await;
+        let (_, killed) = future::join(booking, killing).await;
+        killed?;
         let again = caller.book(&daemons[1], 0, Some("k"), "orphan").await;
         assert!(again.body.contains("\"ran\":\"unknown\""), "{again:?}");
         assert!(
