Count the death of an engine once, however often it is probed

Cause: found on reading the change again. Every failed probe of a dead engine was taken as a new crash, so three engines that stay dead kept the rule for mass failures in force, in which a crashing content takes down one engine more. Change: a failed probe is a crash only if the engine was not dead before, or a request is still there. A test keeps three engines dead and probes them.

--- a/crates/core/src/dispatch/failures.rs
+++ b/crates/core/src/dispatch/failures.rs
@@ -32,9 +32,12 @@
             }
             Probed::Alive { .. } => self.engine_crashed(engine, now),
             Probed::Dead => {
-                self.members.died(engine);
+                let newly = self.members.died(engine);
                 self.refresh_standing(engine, now);
-                self.engine_crashed(engine, now);
+                // A dead engine is asked again and again; that is no new death.
+                if newly || self.flights.values().any(|flight| flight.uses(engine)) {
+                    self.engine_crashed(engine, now);
+                }
             }
         }
         self.take_actions()
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -193,11 +193,13 @@
         }
     }
 
-    /// Notes that the target is known to be dead.
-    pub fn died(&mut self, id: &EngineId) {
-        if let Some(member) = self.members.get_mut(id) {
-            member.failures = FAILURES_TO_DIE;
-        }
+    /// Notes that the target is known to be dead; false if it was before.
+    pub fn died(&mut self, id: &EngineId) -> bool {
+        let Some(member) = self.members.get_mut(id) else {
+            return false;
+        };
+        let before = std::mem::replace(&mut member.failures, FAILURES_TO_DIE);
+        before < FAILURES_TO_DIE
     }
 
     /// Notes that a stream on the target made progress.
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -31,6 +31,8 @@
     crashed: Vec<EngineId>,
     ends: Vec<(RequestId, Outcome)>,
     incarnations: Vec<u64>,
+    /// Engines that stay dead and are probed all the time.
+    down: BTreeSet<usize>,
     now: u64,
 }
 
@@ -43,6 +45,7 @@
             crashed: Vec::new(),
             ends: Vec::new(),
             incarnations: vec![1; ENGINES],
+            down: BTreeSet::new(),
             now: 1,
         }
     }
@@ -101,6 +104,12 @@
     fn pass(&mut self, time_ms: u64) {
         self.now += time_ms;
         for number in 0..ENGINES {
+            if self.down.contains(&number) {
+                let dead = engine_id(number);
+                let actions = self.dispatcher.probed(&dead, Probed::Dead, ms(self.now));
+                self.take(actions);
+                continue;
+            }
             let incarnation = self.incarnations[number];
             let idle = Report::default();
             let actions = self.dispatcher.reported(
@@ -344,3 +353,15 @@
     assert_eq!(instances.len(), 2, "{engines:?}");
     assert_eq!(names.len(), engines.len(), "{engines:?}");
 }
+
+#[test]
+fn engines_that_stay_dead_do_not_look_like_a_mass_failure() {
+    let mut farm = Farm::new();
+    farm.down = BTreeSet::from([5, 6, 7]);
+    for _ in 0..60 {
+        farm.pass(100);
+    }
+    farm.arrive(POISON, true);
+    farm.settle();
+    assert_eq!(farm.crashed.len() as u32, MAX_CRASHES_PER_CONTENT);
+}
