Decode keys once and drop what stood twice

Cause: found on reading the change again: hex keys were decoded for every request and exchange; the body fed by a channel served the stand-ins only, yet stood in the daemon; resident memory was read by two functions; three outcomes of a confirmation's write led to the same step in two arms; each new engine rebuilt the list of open ones, though it is closed. Change: the node holds the decoded keys; the body moved to the stand-ins; one reader of resident memory; one arm; the list is rebuilt only if facts change. Conclusion: behaviour is unchanged.

--- a/crates/core/src/intent/confirm.rs
+++ b/crates/core/src/intent/confirm.rs
@@ -86,10 +86,9 @@
         match (self.phase, event) {
             (Phase::Reading { .. }, Event::Read(row)) => self.read(row),
             (Phase::Reading { tries, wrote }, _) => self.read_failed(tries, wrote),
-            (Phase::Writing, Event::Conflict | Event::WriteLost) => self.read_again(0, true),
-            (Phase::Writing, Event::Written) => {
-                // The row written is known, but reading it back costs little
-                // and yields what others will see.
+            // After a write that took effect, reading back costs little and
+            // yields what others will see; after any other it tells the truth.
+            (Phase::Writing, Event::Written | Event::Conflict | Event::WriteLost) => {
                 self.read_again(0, true)
             }
             _ => self.over(Verdict::Unknown),
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -209,6 +209,7 @@
             Some(index) => {
                 self.engines[*index].facts = facts;
                 self.engines[*index].declared = true;
+                self.rebuild_open();
             }
             None => {
                 self.by_id.insert(facts.id.clone(), self.engines.len());
@@ -224,7 +225,6 @@
                 });
             }
         }
-        self.rebuild_open();
     }
 
     /// Notes which engines are declared still.
--- a/crates/daemon/src/callers/completions.rs
+++ b/crates/daemon/src/callers/completions.rs
@@ -27,7 +27,7 @@
 use crate::{
     callers::{self, admit, content},
     http,
-    node::{AccountEntry, Caller, Node, Piece, TextPiece, decode, unix_ms},
+    node::{AccountEntry, Caller, Node, Piece, TextPiece, unix_ms},
     telemetry,
 };
 
@@ -234,7 +234,7 @@
 
 async fn understand(node: &Node, body: &Bytes) -> Result<content::Content, Response<BoxBody>> {
     let bytes_per_token = node.directory.borrow().routing.bytes_per_token;
-    let key = decode(&node.settings.fingerprint_key).unwrap_or_default();
+    let key = node.fingerprint_key;
     let read = if body.len() < content::LARGE_BODY {
         content::read(body, bytes_per_token, &key)
     } else {
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -15,7 +15,7 @@
 use anyhow::Context;
 
 pub use body::{BodyError, collect, collect_response};
-pub use reply::{Chunks, json, problem, readiness, streamed, text};
+pub use reply::{json, problem, readiness, streamed, text};
 
 /// Time in which the head of a request must have arrived.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/daemon/src/http/reply.rs
+++ b/crates/daemon/src/http/reply.rs
@@ -1,20 +1,14 @@
 //! Answers in the shapes that the project uses.
 
-use std::{
-    convert::Infallible,
-    pin::Pin,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::time::Duration;
 
 use actix_http::{
     Response, StatusCode,
-    body::{BodySize, BoxBody, MessageBody},
+    body::{BoxBody, MessageBody},
 };
 use bytes::Bytes;
 use cyclamengauge_core::request::Ran;
 use serde::Serialize;
-use tokio::sync::mpsc;
 
 /// Prefix of the types of problems.
 const PROBLEM_TYPE: &str = "urn:cyclamengauge:problem:";
@@ -87,38 +81,6 @@
         .map_into_boxed_body()
 }
 
-/// A body whose chunks arrive through a channel. What it `holds` is dropped
-/// with it, also when the peer closes the connection.
-pub struct Chunks {
-    receiver: mpsc::Receiver<Bytes>,
-    _holds: Box<dyn std::any::Any>,
-}
-
-impl Chunks {
-    /// Creates a body from the receiving end of its chunks.
-    pub fn new(receiver: mpsc::Receiver<Bytes>, holds: impl std::any::Any) -> Self {
-        Self {
-            receiver,
-            _holds: Box::new(holds),
-        }
-    }
-}
-
-impl MessageBody for Chunks {
-    type Error = Infallible;
-
-    fn size(&self) -> BodySize {
-        BodySize::Stream
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        self.receiver.poll_recv(cx).map(|chunk| chunk.map(Ok))
-    }
-}
-
 fn typed(status: u16, content_type: &str, body: Bytes) -> Response<BoxBody> {
     Response::build(code(status))
         .insert_header(("content-type", content_type))
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -84,6 +84,10 @@
 pub struct Node {
     /// Its settings.
     pub settings: v1::Settings,
+    /// Key that the instances share.
+    pub peer_key: [u8; 32],
+    /// Key of the fingerprints of contents.
+    pub fingerprint_key: [u8; 32],
     /// Changes with each start.
     pub incarnation: u64,
     /// Time since start.
@@ -136,6 +140,8 @@
         let client = client(Duration::from_secs(60));
         let address = settings.platform.clone().unwrap_or_default();
         Rc::new(Self {
+            peer_key: decode(&settings.peer_key).unwrap_or_default(),
+            fingerprint_key: decode(&settings.fingerprint_key).unwrap_or_default(),
             incarnation: fastrand::u64(1..u64::MAX / 2),
             clock,
             dispatcher: RefCell::new(dispatch::Dispatcher::new(dispatch::Settings::default())),
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -9,7 +9,7 @@
 use tonic::transport::{Channel, Endpoint};
 
 use crate::{
-    node::{Node, decode, unix_ms},
+    node::{Node, unix_ms},
     peers::mac,
 };
 
@@ -119,9 +119,8 @@
 
 /// Sends one message; returns the version that the peer has, if it answers.
 async fn exchange(node: &Rc<Node>, client: &mut PeerClient<Channel>, peer: &str) -> Option<u64> {
-    let key = decode(&node.settings.peer_key).unwrap_or_default();
     let mut message = request(node, peer);
-    mac::sign_request(&mut message, &key);
+    mac::sign_request(&mut message, &node.peer_key);
     metrics::counter!("cyclamengauge_peer_exchanges_total").increment(1);
     let reply = match client.exchange(message).await {
         Ok(reply) => reply.into_inner(),
@@ -131,7 +130,7 @@
             return None;
         }
     };
-    if !mac::verify_reply(&reply, &key) {
+    if !mac::verify_reply(&reply, &node.peer_key) {
         tracing::warn!(%peer, "peer: the reply of {peer} has a wrong MAC");
         return None;
     }
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -13,7 +13,7 @@
 use tonic::{Request, Response, Status};
 
 use crate::{
-    node::{Node, decode},
+    node::Node,
     peers::{exchange, mac},
 };
 
@@ -56,7 +56,7 @@
 ///
 /// If the listener cannot be used.
 pub async fn serve(node: Rc<Node>, listener: net::TcpListener) -> anyhow::Result<()> {
-    let key = decode(&node.settings.peer_key).unwrap_or_default();
+    let key = node.peer_key;
     let (sender, mut receiver) = mpsc::channel::<Pending>(BACKLOG);
     actix_rt::spawn(async move {
         while let Some((message, answer)) = receiver.recv().await {
--- a/crates/load/src/slopes/live.rs
+++ b/crates/load/src/slopes/live.rs
@@ -10,7 +10,7 @@
 use crate::{
     harness::{Caller, Fleet, FleetOptions, Process},
     model::Deployment,
-    slopes::Slope,
+    slopes::{Slope, memory},
 };
 
 /// Processor ticks a second in the accounts.
@@ -192,11 +192,5 @@
 
 /// Resident memory of a process.
 fn resident_mb(process: &Process) -> f64 {
-    let path = format!("/proc/{}/statm", process.id());
-    let text = std::fs::read_to_string(path).unwrap_or_default();
-    let pages = text
-        .split_whitespace()
-        .nth(1)
-        .and_then(|n| n.parse::<f64>().ok());
-    pages.unwrap_or(0.0) * 4_096.0 / 1e6
+    memory::resident_bytes(&process.id().to_string()) / 1e6
 }
--- a/crates/load/src/slopes/memory.rs
+++ b/crates/load/src/slopes/memory.rs
@@ -136,21 +136,19 @@
     let mut kept = Vec::new();
     let mut points = Vec::new();
     for size in sizes {
-        let before = resident();
+        let before = resident_bytes("self");
         kept.push(build(*size));
-        points.push((*size as f64, resident() - before));
+        points.push((*size as f64, resident_bytes("self") - before));
     }
     // Freed memory would be used again by the next measuring and hide its cost.
     std::mem::forget(kept);
     Slope::new(name, "bytes", per, points)
 }
 
-/// Resident bytes of this process.
-fn resident() -> f64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text
-        .split_whitespace()
-        .nth(1)
-        .and_then(|n| n.parse::<f64>().ok());
+/// Resident bytes of a process, by its number or `self`.
+pub(super) fn resident_bytes(process: &str) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/statm")).unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    let pages = pages.and_then(|n| n.parse::<f64>().ok());
     pages.unwrap_or(0.0) * PAGE
 }
--- a/crates/load/src/standins/engine.rs
+++ b/crates/load/src/standins/engine.rs
@@ -20,6 +20,7 @@
     model::{Engine, Job, JobId, Output, Spec},
     standins::{
         POISON, TIMED,
+        chunks::Chunks,
         report::{self, Held, Identity},
         server,
     },
@@ -233,7 +234,7 @@
         timed: content.timed,
     };
     actix_rt::spawn(stream(Rc::clone(state), answer, receiver, sender));
-    http::streamed(http::Chunks::new(chunks, guard))
+    http::streamed(Chunks::new(chunks, guard))
 }
 
 /// Cancels the job when its connection is closed.
--- a/crates/load/src/standins/mod.rs
+++ b/crates/load/src/standins/mod.rs
@@ -7,6 +7,7 @@
 `docs/design/platform-protocol.md`, and can be told to fail.
 */
 
+mod chunks;
 mod engine;
 mod plain;
 mod platform;
