Find peers again after a long cut, and after a clock was set back

Cause, found on reading: a peer that was silent for 30 s was forgotten by both sides, so after a cut of that length neither wrote to the other again until a restart, and each placed by half the loads and with a larger part of the retry budget. And a process that starts after its instance's clock was set back has a lower incarnation than the one before; its datagrams were taken for overtaken ones for as long as the clock had been set back.

Ruled out: reading the table of instances again and again, which at 2,600 instances costs more than the control traffic may.

Who is told and who counts is decided in core now.

Before: the two new tests (cut off for minutes; clock set back) fail on the old rules, which forget and ignore.

--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod fleet;
 mod loads;
+mod peers;
 mod placement;
 mod queue;
 mod retries;
--- a/crates/daemon/src/gateway/gossip/fetch.rs
+++ b/crates/daemon/src/gateway/gossip/fetch.rs
@@ -61,7 +61,7 @@
 /// Fetches what a peer has newer unless the store delivers it first.
 pub(super) fn soon(gateway: &Rc<Gateway>, peer: SocketAddr, wanted: Wanted) {
     let lacking = wanted.lacks_configuration(gateway) || wanted.lacks_list(gateway);
-    if !lacking || std::mem::replace(&mut gateway.peers.borrow_mut().fetching, true) {
+    if !lacking || gateway.fetching.replace(true) {
         return;
     }
     let gateway = Rc::clone(gateway);
@@ -79,7 +79,7 @@
                 Err(err) => tracing::warn!(%peer, "targets: not fetched from {peer}: {err:#}"),
             }
         }
-        gateway.peers.borrow_mut().fetching = false;
+        gateway.fetching.set(false);
     });
 }
 
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -7,12 +7,7 @@
 mod fetch;
 mod messages;
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_rt::net::UdpSocket;
 use anyhow::Context;
@@ -20,9 +15,9 @@
     clock::Instant,
     ids::{EngineId, InstanceId},
     request::Fingerprint,
+    serving::peers::{self, Mark},
     text::SmolStr,
 };
-use cyclamengauge_platform::settings;
 use cyclamengauge_schema::v1;
 use prost::Message;
 
@@ -30,118 +25,11 @@
 
 pub use fetch::answer;
 
-/// Shortest time between two datagrams to a peer, for each peer. With few peers
-/// a placement is known elsewhere before the next one is likely.
-const PERIOD_PER_PEER: Duration = Duration::from_millis(6);
-
-/// Time for a datagram to arrive and be read.
-const NEWS_WAY: Duration = Duration::from_millis(5);
-
-/// Longest time between two datagrams; well below the age at which loads count
-/// no more.
-const LONGEST_PERIOD: Duration = Duration::from_millis(400);
-
-/// Peers that are written to in one round. It bounds the traffic of an instance
-/// among hundreds; their news are then as many rounds old as it takes to tell all.
-const MAX_FANOUT: usize = 40;
-
-/// Silence after which a peer shares in the traffic no more.
-const ALIVE_TIME: Duration = Duration::from_secs(3);
-
-/// Silence after which a peer is written to no more.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
-
 /// Largest datagram.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
-#[derive(Clone, Debug)]
-struct Peer {
-    /// When it was heard of first, or heard last.
-    seen_at: Instant,
-    heard: bool,
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-struct Mark {
-    incarnation: u64,
-    sequence: u64,
-}
-
-/// The other instances, by address.
-#[derive(Clone, Debug, Default)]
-pub struct Peers {
-    peers: BTreeMap<SocketAddr, Peer>,
-    marks: HashMap<InstanceId, Mark>,
-    /// The peer that was written to last.
-    last_told: Option<SocketAddr>,
-    fetching: bool,
-}
-
-impl Peers {
-    /// Creates the list from the seeds of the settings.
-    pub fn new(settings: &settings::Settings) -> Self {
-        let mut peers = Self::default();
-        for seed in &settings.seeds {
-            peers.introduce(*seed, Instant::ZERO);
-        }
-        peers
-    }
-
-    /// Adds an address that may be a peer's.
-    pub fn introduce(&mut self, address: SocketAddr, now: Instant) {
-        self.peers.entry(address).or_insert(Peer {
-            seen_at: now,
-            heard: false,
-        });
-    }
-
-    /// Peers that were heard of late.
-    pub fn alive(&self, now: Instant) -> u32 {
-        let alive = |peer: &&Peer| peer.heard && now - peer.seen_at <= ALIVE_TIME;
-        self.peers.values().filter(alive).count() as u32
-    }
-
-    fn heard(&mut self, address: SocketAddr, now: Instant) {
-        let peer = Peer {
-            seen_at: now,
-            heard: true,
-        };
-        self.peers.insert(address, peer);
-    }
-
-    /// Whether a datagram is newer than what came from its sender before.
-    fn is_news(&mut self, instance: &InstanceId, mark: Mark) -> bool {
-        let known = self.marks.entry(instance.clone()).or_default();
-        let newer = mark > *known;
-        *known = mark.max(*known);
-        newer
-    }
-
-    /// Peers to write to in this round: all, or as many as may be at a time, each
-    /// in its turn.
-    fn round(&mut self, now: Instant) -> Vec<SocketAddr> {
-        self.peers
-            .retain(|_, peer| now - peer.seen_at <= FORGET_AFTER);
-        let count = self.peers.len().min(MAX_FANOUT);
-        let after = self.last_told;
-        let later = self.peers.keys().filter(|address| Some(**address) > after);
-        let earlier = self.peers.keys().filter(|address| Some(**address) <= after);
-        let round: Vec<SocketAddr> = later.chain(earlier).take(count).copied().collect();
-        self.last_told = round.last().copied();
-        round
-    }
-}
-
-/// Usual age of the news from a peer: one period, and its way.
-pub fn news_age(peers: u32) -> Duration {
-    let rounds = (peers as usize).div_ceil(MAX_FANOUT).max(1);
-    period(peers) * rounds as u32 + NEWS_WAY
-}
-
-fn period(peers: u32) -> Duration {
-    let told = (peers as usize).min(MAX_FANOUT) as u32;
-    (PERIOD_PER_PEER * told).min(LONGEST_PERIOD)
-}
+/// Pause after a failure to receive.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(6);
 
 /// Opens the socket for datagrams.
 ///
@@ -171,9 +59,9 @@
             }
         }
         gateway.targets.borrow_mut().forget_gone(now);
-        let pause = period(addresses.len() as u32);
+        let pause = peers::period(addresses.len() as u32);
         actix_rt::time::sleep(pause).await;
-        let _ = actix_rt::time::timeout(LONGEST_PERIOD - pause, changed).await;
+        let _ = actix_rt::time::timeout(peers::LONGEST_PERIOD - pause, changed).await;
     }
 }
 
@@ -185,7 +73,7 @@
             Ok(received) => received,
             Err(err) => {
                 tracing::debug!("peers: receive: {err}");
-                actix_rt::time::sleep(PERIOD_PER_PEER).await;
+                actix_rt::time::sleep(RECEIVE_PAUSE).await;
                 continue;
             }
         };
@@ -215,13 +103,11 @@
         incarnation: gossip.incarnation,
         sequence: gossip.sequence,
     };
-    {
-        let mut peers = gateway.peers.borrow_mut();
-        if !peers.is_news(&instance, mark) {
-            return;
-        }
-        peers.heard(address, now);
+    let mut peers = gateway.peers.borrow_mut();
+    if !peers.heard(&instance, address, mark, now) {
+        return;
     }
+    drop(peers);
     let waiting = gossip
         .waiting
         .iter()
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -35,6 +35,7 @@
     clock::Instant,
     serving::{
         crashes::Crashes,
+        peers::{self, Peers},
         queue::Queue,
         rate,
         retries::{Retries, RetryLimits},
@@ -83,7 +84,9 @@
     retries: RefCell<Retries>,
     crashes: RefCell<Crashes>,
     rng: RefCell<fastrand::Rng>,
-    peers: RefCell<gossip::Peers>,
+    peers: RefCell<Peers>,
+    /// Whether something is being fetched from a peer.
+    fetching: Cell<bool>,
     /// Whether the latest try to follow the configuration failed.
     store_away: Cell<bool>,
     /// Latest call to the store that failed, and that succeeded.
@@ -103,6 +106,10 @@
     /// Creates the state of a process that knows nothing yet.
     pub fn new(settings: settings::Settings, incarnation: u64) -> Self {
         let retries = Retries::new(retry_limits(&settings));
+        let mut peers = Peers::default();
+        for seed in &settings.seeds {
+            peers.introduce(*seed, Instant::ZERO);
+        }
         Self {
             clock: Clock::start(),
             incarnation,
@@ -118,7 +125,8 @@
             retries: RefCell::new(retries),
             crashes: RefCell::default(),
             rng: RefCell::new(fastrand::Rng::with_seed(incarnation)),
-            peers: RefCell::new(gossip::Peers::new(&settings)),
+            peers: RefCell::new(peers),
+            fetching: Cell::new(false),
             store_away: Cell::new(false),
             store_failed_at: Cell::new(None),
             store_answered_at: Cell::new(None),
@@ -196,7 +204,7 @@
         let now = self.clock.now();
         let peers = self.peers.borrow().alive(now);
         let rate = self.stream_rate.get().after(now).per_s();
-        rate * f64::from(peers) * gossip::news_age(peers).as_secs_f64()
+        rate * f64::from(peers) * peers::news_age(peers).as_secs_f64()
     }
 
     /// Instances that share the traffic, this one included.
