Mend what the last reading found in the way of a request

Cause and change, each by reading: - A path that doesn't parse was dropped without a line and `/` would have been sent. It is parsed once, when the request is prepared; else the request is refused. - The rest of an answer was read in two places with the same steps; one now. - A stream that only its deadline ended counted as a possible crash of its engine. - Ranks of routes and accounts had no effect; they now give the urgency on an engine.

--- a/crates/core/src/serving/routes.rs
+++ b/crates/core/src/serving/routes.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     ids::{AccountId, ServiceId},
+    routing::Priority,
     serving::cost::EngineModel,
     text::SmolStr,
 };
@@ -22,6 +23,29 @@
     },
 }
 
+/// Rank that operators give to routes and accounts; 0 goes first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Rank(pub u32);
+
+/// Levels that engines tell apart, between two ranks. It leaves one for long
+/// prompts of a rank, which go after its short ones and with the next rank's.
+const LEVELS_PER_RANK: u32 = 2;
+
+/// Lowest urgency that engines know, from the platform's documentation.
+const LAST_LEVEL: u32 = 9;
+
+impl Rank {
+    /// Urgency on an engine of a request of this rank.
+    pub fn priority(self, long: bool) -> Priority {
+        let after = if long { LEVELS_PER_RANK } else { 0 };
+        let level = self
+            .0
+            .saturating_mul(LEVELS_PER_RANK)
+            .saturating_add(1 + after);
+        Priority(level.min(LAST_LEVEL) as u8)
+    }
+}
+
 impl RouteKind {
     /// Whether a request may run more than once.
     pub fn is_repeatable(self) -> bool {
@@ -62,8 +86,8 @@
         pub objective: Duration,
         /// Longest pause between two events of a stream that is on time.
         pub gap_objective: Option<Duration>,
-        /// Rank; 0 goes first.
-        pub priority: u32,
+        /// Rank of its requests.
+        pub rank: Rank,
         /// Services that take its requests; never empty.
         pub shares: Vec<Share>,
         /// Targets to which one request may be sent.
@@ -86,8 +110,8 @@
         pub id: AccountId,
         /// Keys that its requests may carry.
         pub keys: Vec<SmolStr>,
-        /// Rank that goes before the route's.
-        pub priority: Option<u32>,
+        /// Rank that replaces the route's for this account's requests.
+        pub rank: Option<Rank>,
     }
 
     /// Bounds on what callers send.
@@ -131,6 +155,8 @@
     hosts: HashMap<SmolStr, Vec<Rc<Route>>>,
     services: HashMap<ServiceId, Service>,
     keys: Option<HashMap<SmolStr, AccountId>>,
+    /// Ranks of the accounts that have one.
+    ranks: HashMap<AccountId, Rank>,
     limits: CallerLimits,
 }
 
@@ -146,6 +172,9 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = configuration.services.into_iter();
+        let accounts = configuration.accounts.iter().flatten();
+        let ranks = accounts.filter_map(|account| Some((account.id.clone(), account.rank?)));
+        let ranks = ranks.collect();
         let keys = configuration.accounts.map(|accounts| {
             let pairs = accounts.into_iter().flat_map(|account| {
                 let id = account.id;
@@ -158,6 +187,7 @@
             hosts,
             services: services.map(|s| (s.id.clone(), s)).collect(),
             keys,
+            ranks,
             limits: configuration.limits,
         }
     }
@@ -191,6 +221,12 @@
         found.cloned()
     }
 
+    /// Rank of a request of `account` on `route`.
+    pub fn rank(&self, route: &Route, account: Option<&AccountId>) -> Rank {
+        let own = account.and_then(|account| self.ranks.get(account));
+        own.copied().unwrap_or(route.rank)
+    }
+
     /// Whose request it is, by its key.
     pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller {
         let Some(keys) = &self.keys else {
--- a/crates/core/src/serving/targets.rs
+++ b/crates/core/src/serving/targets.rs
@@ -34,6 +34,9 @@
 /// that recovered is tried again.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// Weight of the newest request in a service's usual time.
+const TIME_WEIGHT: f64 = 0.1;
+
 /// Part of its reading time for which a flight counts after it should have
 /// started: the estimate was too low.
 const OVERDUE_SHARE: f64 = 0.7;
@@ -124,6 +127,7 @@
     /// When each part should have been read.
     read_by: Vec<Instant>,
     stream: Option<StreamTraits>,
+    begun_at: Instant,
     started: bool,
 }
 
@@ -155,6 +159,8 @@
     flights: BTreeMap<FlightId, Flight>,
     last_flight: u64,
     peers: HashMap<InstanceId, PeerLoads>,
+    /// Usual time of a request that was served.
+    usual_times: HashMap<ServiceId, Duration>,
 }
 
 impl Targets {
@@ -230,6 +236,7 @@
             parts,
             read_by,
             stream,
+            begun_at: now,
             started: false,
         };
         self.flights.insert(id, flight);
@@ -267,9 +274,31 @@
             return;
         };
         let target = flight.parts[0].target.clone();
+        if outcome == Outcome::Served {
+            self.note_time(&target, now - flight.begun_at);
+        }
         self.judged(&target, outcome, now);
     }
 
+    /// Time in which one of a busy target's slots becomes free; none if nothing
+    /// is known of the service.
+    pub fn time_to_slot(&self, service: &ServiceId) -> Option<Duration> {
+        let usual = self.usual_times.get(service)?;
+        let targets = self.targets.values().map(|target| &target.facts);
+        let slots = targets.filter(|facts| &facts.service == service);
+        let slots = slots.map(|facts| facts.slots).min()?;
+        Some(*usual / slots.max(1))
+    }
+
+    fn note_time(&mut self, id: &EngineId, time: Duration) {
+        let Some(target) = self.targets.get(id) else {
+            return;
+        };
+        let service = target.facts.service.clone();
+        let usual = self.usual_times.entry(service).or_insert(time);
+        *usual = usual.mul_f64(1.0 - TIME_WEIGHT) + time.mul_f64(TIME_WEIGHT);
+    }
+
     /// Takes in how a target dealt with a request.
     pub fn judged(&mut self, id: &EngineId, outcome: Outcome, now: Instant) {
         let Some(target) = self.targets.get_mut(id) else {
--- a/crates/core/tests/serving/routes.rs
+++ b/crates/core/tests/serving/routes.rs
@@ -5,7 +5,7 @@
 use cyclamengauge_core::{
     ids::{AccountId, ServiceId},
     serving::routes::{
-        Account, Caller, CallerLimits, Configuration, Route, RouteKind, RouteTable, Share,
+        Account, Caller, CallerLimits, Configuration, Rank, Route, RouteKind, RouteTable, Share,
     },
     text::SmolStr,
 };
@@ -19,7 +19,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(150),
         gap_objective: None,
-        priority: 1,
+        rank: Rank(1),
         shares: vec![
             Share {
                 service: ServiceId::new("old"),
@@ -82,7 +82,7 @@
     let account = Account {
         id: AccountId::new("lab"),
         keys: vec![SmolStr::new("k1"), SmolStr::new("k2")],
-        priority: None,
+        rank: None,
     };
     let table = table(Some(vec![account]));
     let closed = table.find("lab.example", "/").unwrap();
@@ -119,3 +119,31 @@
     assert!(RouteKind::Stream { resumable: true }.is_repeatable());
     assert!(!RouteKind::Stream { resumable: false }.is_repeatable());
 }
+
+#[test]
+fn an_accounts_rank_goes_before_its_routes() {
+    let account = |name: &str, rank| Account {
+        id: AccountId::new(name),
+        keys: vec![SmolStr::new(name)],
+        rank,
+    };
+    let table = table(Some(vec![
+        account("lab", Some(Rank(0))),
+        account("desk", None),
+    ]));
+    let route = table.find("lab.example", "/").unwrap();
+    let rank = |name: &str| table.rank(&route, Some(&AccountId::new(name)));
+    assert_eq!(rank("lab"), Rank(0));
+    assert_eq!(rank("desk"), Rank(1));
+    assert_eq!(table.rank(&route, None), Rank(1));
+}
+
+#[test]
+fn engines_admit_by_rank_and_within_a_rank_short_prompts_first() {
+    let priority = |rank, long| Rank(rank).priority(long);
+    assert!(priority(0, false) < priority(0, true));
+    assert!(priority(0, true) <= priority(1, false));
+    assert!(priority(1, false) < priority(2, false));
+    assert!(priority(1, true) < priority(2, true));
+    assert_eq!(priority(u32::MAX, true).0, 9);
+}
--- a/crates/core/tests/serving/targets.rs
+++ b/crates/core/tests/serving/targets.rs
@@ -166,3 +166,20 @@
     targets.forget_gone(ms(4));
     assert!(targets.get(&id(5)).is_none());
 }
+
+#[test]
+fn a_slot_of_a_busy_target_is_free_after_its_part_of_the_usual_time() {
+    let mut targets = targets();
+    let service = ServiceId::new("engines");
+    assert_eq!(targets.time_to_slot(&service), None);
+    for number in 0..50 {
+        let flight = targets.begin(vec![part(number % ENGINES, 20)], Some(TRAITS), ms(0));
+        targets.ended(flight, Outcome::Served, ms(1_600));
+    }
+    // 16 slots, 1.6 s each.
+    let time = targets.time_to_slot(&service).unwrap();
+    assert_eq!(time.as_millis(), 100);
+    let failed = targets.begin(vec![part(0, 20)], Some(TRAITS), ms(0));
+    targets.ended(failed, Outcome::Failed, ms(60_000));
+    assert_eq!(targets.time_to_slot(&service).unwrap().as_millis(), 100);
+}
--- a/crates/daemon/src/gateway/answers.rs
+++ b/crates/daemon/src/gateway/answers.rs
@@ -46,8 +46,8 @@
     Crashes,
     /// No target can take it now.
     NoTarget,
-    /// The targets that were asked have no room.
-    Busy,
+    /// The targets that were asked have no room; there is some after this time.
+    Busy(Duration),
     /// Waiting for its turn would take the request too long; there is room after
     /// this time.
     Overloaded(Duration),
@@ -73,7 +73,7 @@
             Self::TooLarge => "body-too-large",
             Self::Crashes => "content-crashes-engines",
             Self::NoTarget => "no-target",
-            Self::Busy => "targets-busy",
+            Self::Busy(_) => "targets-busy",
             Self::Overloaded(_) => "overloaded",
             Self::TooLong => "prompt-too-long",
             Self::ShuttingDown => "shutting-down",
@@ -94,7 +94,7 @@
             | Self::Stale
             | Self::Crashes
             | Self::NoTarget
-            | Self::Busy
+            | Self::Busy(_)
             | Self::Overloaded(_)
             | Self::TooLong
             | Self::ShuttingDown => 503,
@@ -108,9 +108,8 @@
             // Another instance takes the new connection.
             Self::ShuttingDown | Self::Stale => Some(Duration::from_millis(50)),
             Self::NotConfigured => Some(Duration::from_millis(300)),
-            // A slot is free after a short stream, a target after its restart.
-            Self::Busy => Some(Duration::from_millis(300)),
-            Self::Overloaded(wait) => Some(wait),
+            Self::Busy(wait) | Self::Overloaded(wait) => Some(wait),
+            // A target starts again in about that time.
             Self::NoTarget => Some(Duration::from_millis(1_000)),
             Self::Crashes | Self::TooLong => Some(Duration::from_secs(600)),
             Self::NoRoute
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -9,14 +9,14 @@
     request::Fingerprint,
     serving::{
         placement::{self, Placement},
-        routes::Route,
+        routes::{Rank, Route},
         targets::{FlightId, Outcome},
     },
     text::SmolStr,
 };
 use cyclamengauge_platform::headers;
 use http::{
-    HeaderMap, HeaderValue, Method, Request, Response, StatusCode,
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri,
     header::{CONTENT_ENCODING, HeaderName},
 };
 use http_body_util::Full;
@@ -35,10 +35,6 @@
 /// Time to find out whether an engine that broke off has crashed.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Urgency of short prompts on an engine, before long ones.
-const SHORT_PRIORITY: &str = "3";
-const LONG_PRIORITY: &str = "5";
-
 /// A caller's request, ready to be sent to targets.
 pub struct Job {
     /// The caller's id of it.
@@ -46,7 +42,7 @@
     /// Method.
     pub method: Method,
     /// Path and query as received.
-    pub path: SmolStr,
+    pub target: Uri,
     /// Headers that are passed on.
     pub headers: HeaderMap,
     /// Whole body.
@@ -57,6 +53,8 @@
     pub service: ServiceId,
     /// Account of the caller.
     pub account: Option<AccountId>,
+    /// Its rank among the requests for the same targets.
+    pub rank: Rank,
     /// Digest of path, caller and body.
     pub fingerprint: Fingerprint,
     /// When it arrived.
@@ -238,41 +236,65 @@
 ///
 /// # Errors
 ///
-/// If it is incomplete or not there by `deadline`.
+/// If it is incomplete or not there by the deadline.
 pub async fn finish(
     gateway: &Rc<Gateway>,
     job: &Job,
     exchange: Exchange,
-    deadline: Instant,
 ) -> Result<Response<Bytes>, Failure> {
-    let Exchange {
-        response,
-        mut flight,
-        connection,
-        reservations,
-    } = exchange;
-    let reading = upstream::whole(response);
-    let read = actix_rt::time::timeout(gateway.clock.until(deadline), reading).await;
-    drop(connection);
-    drop(reservations);
+    let (mut flight, read) = read_rest(gateway, job, exchange).await;
     match read {
-        Ok(Ok(answer)) => {
+        Ok(answer) => {
             flight.judge(Outcome::Served);
             Ok(answer)
         }
-        Ok(Err(err)) => {
+        Err(Unread::Broken(err)) => {
             flight.judge(Outcome::Failed);
             suspect_crash(gateway, job, &flight);
             Err(failed(job, &flight, Failure::Broken, &err))
         }
-        Err(_) => {
+        Err(Unread::Late(err)) => {
             flight.judge(Outcome::Silent);
-            let err = anyhow::anyhow!("the answer is not whole at the deadline");
             Err(failed(job, &flight, Failure::Silent, &err))
         }
     }
 }
 
+/// Why the rest of an answer could not be read.
+enum Unread {
+    /// The connection broke or the answer is malformed.
+    Broken(anyhow::Error),
+    /// The deadline passed.
+    Late(anyhow::Error),
+}
+
+/// Reads the rest of an answer, then lets go of its connection and reservations.
+async fn read_rest(
+    gateway: &Gateway,
+    job: &Job,
+    exchange: Exchange,
+) -> (Flight, Result<Response<Bytes>, Unread>) {
+    let Exchange {
+        response,
+        flight,
+        connection,
+        reservations,
+    } = exchange;
+    let status = response.status();
+    let reading = upstream::whole(response);
+    let left = gateway.clock.until(job.deadline);
+    let read = match actix_rt::time::timeout(left, reading).await {
+        Ok(read) => read.map_err(Unread::Broken),
+        Err(_) => {
+            let err = anyhow::anyhow!("answered {status}, not whole at the deadline");
+            Err(Unread::Late(err))
+        }
+    };
+    drop(connection);
+    drop(reservations);
+    (flight, read)
+}
+
 /// An engine that broke off a request may have crashed by it. It has if it takes
 /// no connections now.
 pub fn suspect_crash(gateway: &Rc<Gateway>, job: &Job, flight: &Flight) {
@@ -305,9 +327,7 @@
 ) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.method.clone();
-    if let Ok(uri) = job.path.parse() {
-        *request.uri_mut() = uri;
-    }
+    *request.uri_mut() = job.target.clone();
     let map = request.headers_mut();
     *map = job.headers.clone();
     let left_ms = gateway.clock.until(job.deadline).as_millis() as u64;
@@ -317,11 +337,8 @@
         set(map, headers::ACCOUNT, account.as_str());
     }
     if job.stream.is_some() {
-        let priority = match placement.long {
-            true => LONG_PRIORITY,
-            false => SHORT_PRIORITY,
-        };
-        set(map, headers::PRIORITY, priority);
+        let priority = job.rank.priority(placement.long);
+        set(map, headers::PRIORITY, &headers::priority(priority));
     }
     if !placement.helpers.is_empty() {
         let helpers = placement.helpers.iter();
@@ -400,28 +417,16 @@
 }
 
 async fn server_error(gateway: &Rc<Gateway>, job: &Job, exchange: Exchange) -> Failure {
-    let Exchange {
-        response,
-        mut flight,
-        connection,
-        reservations,
-    } = exchange;
-    let status = response.status();
-    let reading = upstream::whole(response);
-    let read = actix_rt::time::timeout(gateway.clock.until(job.deadline), reading).await;
-    drop(connection);
-    drop(reservations);
+    let status = exchange.response.status();
+    let (mut flight, read) = read_rest(gateway, job, exchange).await;
     flight.judge(Outcome::Failed);
     match read {
-        Ok(Ok(answer)) => {
+        Ok(answer) => {
             let err = anyhow::anyhow!("answered {status}");
             failed(job, &flight, Failure::Answered(Box::new(answer)), &err)
         }
-        Ok(Err(err)) => failed(job, &flight, Failure::Broken, &err),
-        Err(_) => {
-            let err = anyhow::anyhow!("answered {status}, not whole at the deadline");
-            failed(job, &flight, Failure::Silent, &err)
-        }
+        Err(Unread::Broken(err)) => failed(job, &flight, Failure::Broken, &err),
+        Err(Unread::Late(err)) => failed(job, &flight, Failure::Silent, &err),
     }
 }
 
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -24,11 +24,26 @@
 
 /// Why a stream broke.
 #[derive(Debug)]
-pub struct Broken(anyhow::Error);
+pub enum Broken {
+    /// The connection broke or the answer is malformed.
+    Connection(anyhow::Error),
+    /// Nothing came in time.
+    Late(Late),
+}
+
+impl Broken {
+    /// Whether the engine may have crashed.
+    pub fn may_be_crash(&self) -> bool {
+        !matches!(self, Self::Late(Late::Deadline))
+    }
+}
 
 impl fmt::Display for Broken {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
+        match self {
+            Self::Connection(err) => write!(f, "{err:#}"),
+            Self::Late(late) => late.fmt(f),
+        }
     }
 }
 
@@ -82,18 +97,21 @@
                 if self.buffer.is_empty() {
                     return Ok(None);
                 }
-                return Err(Broken(anyhow::anyhow!("the stream ends within an event")));
+                let err = anyhow::anyhow!("the stream ends within an event");
+                return Err(Broken::Connection(err));
             }
             match self.exchange.response.body_mut().frame().await {
                 None => self.ended = true,
-                Some(Err(err)) => return Err(Broken(err.into())),
+                Some(Err(err)) => return Err(Broken::Connection(err.into())),
                 Some(Ok(frame)) => {
                     self.exchange.flight.heard();
                     if let Some(data) = frame.data_ref() {
                         self.buffer.extend_from_slice(data);
                     }
                     if self.buffer.len() > MAX_EVENT_BYTES {
-                        return Err(Broken(anyhow::anyhow!("an event is too long")));
+                        let err =
+                            anyhow::anyhow!("an event is longer than {MAX_EVENT_BYTES} bytes");
+                        return Err(Broken::Connection(err));
                     }
                 }
             }
@@ -121,7 +139,7 @@
             if matches!(late, Late::Silent(_)) {
                 self.judge(Outcome::Silent);
             }
-            Err(Broken(anyhow::anyhow!("{late}")))
+            Err(Broken::Late(late))
         })
     }
 
@@ -226,7 +244,9 @@
             last_event = self.last_id,
             "request: {request}: the stream from {target} broke: {broken}"
         );
-        exchange::suspect_crash(&self.tries.gateway, &self.job, &self.events.exchange.flight);
+        if broken.may_be_crash() {
+            exchange::suspect_crash(&self.tries.gateway, &self.job, self.events.flight());
+        }
         let Some(last_id) = self.last_id else {
             return Err(broken);
         };
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -20,7 +20,7 @@
     units::Tokens,
 };
 use cyclamengauge_platform::headers;
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use sha2::{Digest, Sha256};
 
 use crate::{
@@ -86,7 +86,7 @@
     loop {
         let exchange = tries.open(job, job.last_event_id.as_ref()).await?;
         let target = exchange.flight.target.clone();
-        match exchange::finish(gateway, job, exchange, job.deadline).await {
+        match exchange::finish(gateway, job, exchange).await {
             Ok(answer) => {
                 tries.completed(job);
                 return Ok(answers::whole(answer));
@@ -107,7 +107,7 @@
         let exchange = tries.open(&job, job.last_event_id.as_ref()).await?;
         let target = exchange.flight.target.clone();
         if !exchange.response.status().is_success() {
-            match exchange::finish(gateway, &job, exchange, job.deadline).await {
+            match exchange::finish(gateway, &job, exchange).await {
                 Ok(answer) => return Ok(answers::whole(answer)),
                 Err(failure) => tries.failed(&job, &target, failure)?,
             }
@@ -131,7 +131,9 @@
             }
             Err(broken) => {
                 tracing::info!(request = %job.id, %target, "request: {}: {broken}", job.id);
-                exchange::suspect_crash(gateway, &job, events.flight());
+                if broken.may_be_crash() {
+                    exchange::suspect_crash(gateway, &job, events.flight());
+                }
                 drop(events);
                 tries.failed(&job, &target, exchange::Failure::Broken)?;
             }
@@ -178,11 +180,8 @@
             server::BodyError::TooLarge => Own::TooLarge,
             server::BodyError::TooSlow | server::BodyError::Broken => Own::BadRequest,
         })?;
-    let path = request
-        .uri()
-        .path_and_query()
-        .map_or("/", |path| path.as_str());
-    let fingerprint = fingerprint(path, account.as_ref(), &body);
+    let target = target(request, &id)?;
+    let fingerprint = fingerprint(&target, account.as_ref(), &body);
     if gateway
         .crashes
         .borrow()
@@ -196,12 +195,13 @@
         id,
         method: Method::from_bytes(request.method().as_str().as_bytes())
             .map_err(|_| Own::BadRequest)?,
-        path: SmolStr::new(path),
+        target,
         headers: forwarded(request.headers()),
         last_event_id: last_event_id.and_then(|id| HeaderValue::from_str(id).ok()),
         body,
         service: route.draw_service(draw).clone(),
         stream: wanted_stream(&route, request.headers()),
+        rank: table.rank(&route, account.as_ref()),
         route,
         account,
         fingerprint,
@@ -277,9 +277,22 @@
     forwarded
 }
 
-fn fingerprint(path: &str, account: Option<&AccountId>, body: &[u8]) -> Fingerprint {
+/// Path and query, for the client's connections.
+fn target(request: &Request, id: &str) -> Result<Uri, Own> {
+    let path = request.uri().path_and_query();
+    let path = path.map_or("/", |path| path.as_str());
+    path.parse().map_err(|err| {
+        tracing::warn!(
+            request = id,
+            "request: {id}: path `{path}` is malformed: {err}"
+        );
+        Own::BadRequest
+    })
+}
+
+fn fingerprint(target: &Uri, account: Option<&AccountId>, body: &[u8]) -> Fingerprint {
     let mut hash = Sha256::new();
-    hash.update(path.as_bytes());
+    hash.update(target.to_string().as_bytes());
     hash.update([0]);
     hash.update(account.map_or("", AccountId::as_str).as_bytes());
     hash.update([0]);
--- a/crates/daemon/src/gateway/tries.rs
+++ b/crates/daemon/src/gateway/tries.rs
@@ -8,6 +8,7 @@
     serving::{
         placement::{self, Ask, Placement, Unplaceable},
         queue::{self, Place},
+        targets::Targets,
     },
 };
 use http::{HeaderValue, Response};
@@ -39,6 +40,14 @@
 /// Shortest time after which a refused long prompt may come back.
 const LEAST_RETRY: Duration = Duration::from_millis(500);
 
+/// Shortest time after which a request may come back that found no free slot: the
+/// callers' new connection takes about that long.
+const LEAST_SLOT_RETRY: Duration = Duration::from_millis(100);
+
+/// Time after which a request may come back that found no free slot, as long as
+/// none of its service was served.
+const UNKNOWN_SLOT_RETRY: Duration = Duration::from_millis(300);
+
 /// Counts a request in progress as long as it is kept.
 pub struct InProgress {
     gateway: Rc<Gateway>,
@@ -254,7 +263,7 @@
                         return Ok(placement);
                     }
                     // Memory comes free while others end.
-                    Ok(_) | Err(GivenUp::Own(Own::Busy)) => {}
+                    Ok(_) | Err(GivenUp::Own(Own::Busy(_))) => {}
                     Err(given_up) => return Err(given_up),
                 }
             }
@@ -305,28 +314,37 @@
         let placed = placement::choose(&targets, &ask, model, &mut rng, now);
         placed.map_err(|reason| {
             if self.may_have_run || self.sent > 0 {
-                return self.give_up(job);
+                return self.give_up_among(job, &targets);
             }
             GivenUp::Own(match reason {
                 Unplaceable::NoTarget => Own::NoTarget,
                 Unplaceable::TooLong => Own::TooLong,
-                Unplaceable::NoMemory => Own::Busy,
+                Unplaceable::NoMemory => self.busy(job, &targets),
             })
         })
     }
 
     fn give_up(&self, job: &Job) -> GivenUp {
+        self.give_up_among(job, &self.gateway.targets.borrow())
+    }
+
+    fn give_up_among(&self, job: &Job, targets: &Targets) -> GivenUp {
         if let Some(answer) = &self.answered {
             return GivenUp::Answered(answer.clone());
         }
         let out_of_time = self.gateway.clock.until(job.deadline).is_zero();
         GivenUp::Own(match (self.may_have_run, out_of_time) {
-            (false, _) => Own::Busy,
+            (false, _) => self.busy(job, targets),
             (true, true) => Own::TimedOut,
             (true, false) => Own::Failed,
         })
     }
 
+    fn busy(&self, job: &Job, targets: &Targets) -> Own {
+        let time = targets.time_to_slot(&job.service);
+        Own::Busy(time.unwrap_or(UNKNOWN_SLOT_RETRY).max(LEAST_SLOT_RETRY))
+    }
+
     fn take_retry(&self, job: &Job) -> bool {
         let now = self.gateway.clock.now();
         let instances = self.gateway.instances();
