Tell each failed request's story from the logs

Lines about requests were written as they came, at most 200 a second, so that in a burst just the failed ones were cut short; they named neither runners-up nor the age of what decided; nothing read them.

Change: a request's lines are kept until its end and written in full if it was refused, failed, late or needed more than one target, else for one in 32; placements of all requests are summed up once a second, so that a killed process leaves them. Names and fields stand in one catalogue (core/events), which the operators' page and the lines are tested against. `cyclamengauge explain REQUEST-ID LOG...` tells the story, other tries of the same content, and what happened to the same targets and process. Metrics: classes, gaps, queue, tries, targets by state, retries left, ages, store calls.

Ruled out: to write each line at once, which loses the failed ones in a burst; to keep everything until the end, which leaves nothing of a killed process.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     client::{Client, Failure},
-    declaration, render,
+    declaration, render, stories,
 };
 
 /// Exit code for a refusal.
@@ -65,9 +65,17 @@
     /// Show the accepted changes
     #[bpaf(command)]
     History,
-    /// Show what was decided about a request, by its x-request-id
+    /// Show what was decided about a request, by its x-request-id: from logs of
+    /// daemons, or else from the instances themselves
     #[bpaf(command)]
-    Explain(#[bpaf(positional("REQUEST"))] String),
+    Explain {
+        /// Id of the request
+        #[bpaf(positional("REQUEST"))]
+        request: String,
+        /// Logs of daemons
+        #[bpaf(positional("FILE"))]
+        logs: Vec<PathBuf>,
+    },
     /// Plan to drain an engine
     #[bpaf(command)]
     Drain(#[bpaf(positional("ENGINE"))] String),
@@ -93,8 +101,12 @@
 }
 
 async fn execute(options: &Options) -> anyhow::Result<ExitCode> {
-    if let Command::Check(dir) = &options.command {
-        return Ok(check(dir));
+    match &options.command {
+        Command::Check(dir) => return Ok(check(dir)),
+        Command::Explain { request, logs } if !logs.is_empty() => {
+            return explain_from_logs(request, logs);
+        }
+        _ => {}
     }
     let client = Client::new(options.instance.clone(), key(options)?);
     match &options.command {
@@ -109,7 +121,7 @@
         Command::Confirm(id) => confirm(&client, id, options.json).await,
         Command::Status => status(&client, options.json).await,
         Command::History => history(&client, options.json).await,
-        Command::Explain(request) => explain(&client, request, options.json).await,
+        Command::Explain { request, .. } => explain(&client, request, options.json).await,
         Command::Drain(engine) => set_drain(&client, engine, true, options.json).await,
         Command::Undrain(engine) => set_drain(&client, engine, false, options.json).await,
         Command::Declaration => {
@@ -207,6 +219,30 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn explain_from_logs(request: &str, logs: &[PathBuf]) -> anyhow::Result<ExitCode> {
+    let lines = stories::read(logs)?;
+    match stories::explain(&lines, request) {
+        Some(story) => {
+            print!("{story}");
+            Ok(ExitCode::SUCCESS)
+        }
+        None => {
+            eprintln!(
+                "cyclamengauge: no line of {} names {request}",
+                count(logs.len())
+            );
+            Ok(ExitCode::from(REFUSED))
+        }
+    }
+}
+
+fn count(logs: usize) -> String {
+    match logs {
+        1 => "the log".to_owned(),
+        logs => format!("the {logs} logs"),
+    }
+}
+
 /// Asks every instance, as only the one that served the request remembers it.
 async fn explain(client: &Client, request: &str, json: bool) -> anyhow::Result<ExitCode> {
     let path = format!("/v1/explain/{request}");
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,7 +12,8 @@
 - [`recovery`] holds the retry budget, the quarantine and the reservations;
 - [`once`] runs non-idempotent calls at most once;
 - [`serving`] routes requests by host and path to the targets of a service;
-- [`intent`] turns operators' declarations into plans and orders.
+- [`intent`] turns operators' declarations into plans and orders;
+- [`events`] names the kinds of log lines.
 
 # Example
 
@@ -73,6 +74,7 @@
 pub mod clock;
 pub mod dispatch;
 pub mod error;
+pub mod events;
 pub mod ids;
 pub mod intent;
 pub mod invariant;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -12,6 +12,20 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Fingerprint(pub [u8; 16]);
 
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+impl std::str::FromStr for Fingerprint {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(|digest| Self(digest.to_be_bytes()))
+    }
+}
+
 /// Digest of the first tokens of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PrefixHash(pub u64);
--- a/crates/core/src/serving/placement/mod.rs
+++ b/crates/core/src/serving/placement/mod.rs
@@ -23,6 +23,9 @@
 /// Cost of a plain request's data centre being another, in requests per slot.
 const FAR_COST: f64 = 0.02;
 
+/// Targets that a placement names besides the chosen one, for its explanation.
+pub const RUNNERS_UP: usize = 2;
+
 crate::values! {
     /// A stream that is to be placed.
     pub struct Stream {
@@ -63,6 +66,15 @@
         pub memory: Tokens,
     }
 
+    /// A target that could have been chosen instead.
+    pub struct RunnerUp {
+        /// The target.
+        pub target: EngineId,
+        /// Its cost above the chosen target's: in ms of waiting for streams, in
+        /// requests per slot for others.
+        pub excess: f64,
+    }
+
     /// Where a request is to run.
     pub struct Placement {
         /// Target that answers.
@@ -83,6 +95,8 @@
         pub plenty: bool,
         /// What the load of a stream depends on.
         pub stream: Option<StreamTraits>,
+        /// The next cheapest targets, at most [`RUNNERS_UP`].
+        pub runners_up: Vec<RunnerUp>,
     }
 }
 
@@ -153,9 +167,11 @@
     };
     let costs = usable
         .iter()
-        .map(|target| (cost(target) + rng.f64() * FAR_COST, *target));
-    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-    let target = best.map_or(usable[0], |(_, target)| target);
+        .map(|target| cost(target) + rng.f64() * FAR_COST);
+    let costs: Vec<f64> = costs.collect();
+    let order = cheapest_first(&costs);
+    let target = usable[order[0]];
+    let ids = |index: usize| &usable[index].facts.id;
     let part = Part {
         target: target.facts.id.clone(),
         read_time: Duration::ZERO,
@@ -171,7 +187,35 @@
         long: false,
         plenty: false,
         stream: None,
+        runners_up: runners_up(&costs, &order, ids),
+    }
+}
+
+/// Indexes of the cheapest few, the cheapest first.
+fn cheapest_first(costs: &[f64]) -> Vec<usize> {
+    let mut order: Vec<usize> = Vec::with_capacity(RUNNERS_UP + 2);
+    for (index, cost) in costs.iter().enumerate() {
+        let place = order.partition_point(|other| costs[*other] <= *cost);
+        if place <= RUNNERS_UP {
+            order.insert(place, index);
+            order.truncate(RUNNERS_UP + 1);
+        }
     }
+    order
+}
+
+fn runners_up<'a>(
+    costs: &[f64],
+    order: &[usize],
+    id: impl Fn(usize) -> &'a EngineId,
+) -> Vec<RunnerUp> {
+    let chosen = order.first().map_or(0.0, |index| costs[*index]);
+    let others = order.iter().skip(1);
+    let others = others.map(|index| RunnerUp {
+        target: id(*index).clone(),
+        excess: costs[*index] - chosen,
+    });
+    others.collect()
 }
 
 fn mean_failure_rate(targets: &[&Target], now: Instant) -> f64 {
--- a/crates/core/src/serving/placement/stream.rs
+++ b/crates/core/src/serving/placement/stream.rs
@@ -13,7 +13,9 @@
     routing::hash,
     serving::{
         cost::EngineModel,
-        placement::{Ask, Helper, Placement, Stream, Unplaceable, failing, mean_failure_rate},
+        placement::{
+            self, Ask, Helper, Placement, RunnerUp, Stream, Unplaceable, failing, mean_failure_rate,
+        },
         queue,
         targets::{Load, Part, StreamTraits, Target, Targets},
     },
@@ -142,6 +144,8 @@
 struct Candidate {
     /// Indexes of the engines; the first one answers.
     members: Vec<usize>,
+    /// Cost of answering, by engine.
+    lead_costs_ms: Vec<f64>,
     first_event_ms: f64,
     cost_ms: f64,
 }
@@ -234,7 +238,10 @@
     /// The cheapest engines for a prompt in `split` parts.
     fn candidate(&self, split: usize) -> Candidate {
         let part_ms = self.work.as_secs_f64() * 1e3 / split as f64;
-        let lead = self.cheapest(|view| self.lead_cost(view, part_ms) + view.wait_ms());
+        let lead_costs = self.views.iter();
+        let lead_costs = lead_costs.map(|view| self.lead_cost(view, part_ms) + view.wait_ms());
+        let lead_costs_ms: Vec<f64> = lead_costs.collect();
+        let lead = placement::cheapest_first(&lead_costs_ms)[0];
         let helper_cost = |i: &usize| {
             let view = &self.views[*i];
             self.helper_cost(view, part_ms) + view.wait_ms()
@@ -254,17 +261,12 @@
             + self.lead_cost(&self.views[lead], part_ms);
         Candidate {
             members,
+            lead_costs_ms,
             first_event_ms,
             cost_ms,
         }
     }
 
-    fn cheapest(&self, cost: impl Fn(&View<'_>) -> f64) -> usize {
-        let costs = self.views.iter().map(cost).enumerate();
-        let best = costs.min_by(|a, b| a.1.total_cmp(&b.1));
-        best.map_or(0, |(index, _)| index)
-    }
-
     /// Cost of a part on an engine that only reads it.
     fn helper_cost(&self, view: &View<'_>, part_ms: f64) -> f64 {
         let mut cost = view.harm(part_ms) + LONG_ORDER_MS * view.order;
@@ -371,8 +373,16 @@
                 gap: self.stream.gap,
                 value: self.value,
             }),
+            runners_up: self.runners_up(best),
         }
     }
+
+    /// The next cheapest engines to answer.
+    fn runners_up(&self, best: &Candidate) -> Vec<RunnerUp> {
+        let order = placement::cheapest_first(&best.lead_costs_ms);
+        let id = |index: usize| &self.views[index].target.facts.id;
+        placement::runners_up(&best.lead_costs_ms, &order, id)
+    }
 }
 
 impl<'a> View<'a> {
--- a/crates/core/src/serving/retries.rs
+++ b/crates/core/src/serving/retries.rs
@@ -65,19 +65,33 @@
     /// Takes one retry from the budget; false if there is none left.
     /// `instances` is the number of instances that share the budget.
     pub fn take(&mut self, service: &ServiceId, instances: u32, now: Instant) -> bool {
-        let history = self.histories.entry(service.clone()).or_default();
-        history.forget(now, self.limits.window);
-        let own = self.limits.ratio * history.requests.len() as f64;
-        let part = self.limits.extra / f64::from(instances.max(1));
-        let allowed = SAFETY_SHARE * (own + part);
-        if history.retries.len() as f64 + 1.0 > allowed {
+        let (used, allowed) = self.use_of(service, instances, now);
+        if used + 1.0 > allowed {
             return false;
         }
+        let history = self.histories.entry(service.clone()).or_default();
         history.retries.push_back(now);
         true
     }
 }
 
+impl Retries {
+    /// Retries that are left in the budget now.
+    pub fn left(&mut self, service: &ServiceId, instances: u32, now: Instant) -> u64 {
+        let (used, allowed) = self.use_of(service, instances, now);
+        (allowed - used).max(0.0) as u64
+    }
+
+    /// Retries that were made, and that may be made, in the window up to now.
+    fn use_of(&mut self, service: &ServiceId, instances: u32, now: Instant) -> (f64, f64) {
+        let history = self.histories.entry(service.clone()).or_default();
+        history.forget(now, self.limits.window);
+        let own = self.limits.ratio * history.requests.len() as f64;
+        let part = self.limits.extra / f64::from(instances.max(1));
+        (history.retries.len() as f64, SAFETY_SHARE * (own + part))
+    }
+}
+
 impl History {
     fn forget(&mut self, now: Instant, window: Duration) {
         for times in [&mut self.requests, &mut self.retries] {
--- a/crates/core/src/serving/targets.rs
+++ b/crates/core/src/serving/targets.rs
@@ -268,16 +268,15 @@
         }
     }
 
-    /// Notes the end of a flight.
-    pub fn ended(&mut self, id: FlightId, outcome: Outcome, now: Instant) {
-        let Some(flight) = self.flights.remove(&id) else {
-            return;
-        };
+    /// Notes the end of a flight; returns for how long its target is left out now,
+    /// if it is.
+    pub fn ended(&mut self, id: FlightId, outcome: Outcome, now: Instant) -> Option<Duration> {
+        let flight = self.flights.remove(&id)?;
         let target = flight.parts[0].target.clone();
         if outcome == Outcome::Served {
             self.note_time(&target, now - flight.begun_at);
         }
-        self.judged(&target, outcome, now);
+        self.judged(&target, outcome, now)
     }
 
     /// Time in which one of a busy target's slots becomes free; none if nothing
@@ -299,27 +298,34 @@
         *usual = usual.mul_f64(1.0 - TIME_WEIGHT) + time.mul_f64(TIME_WEIGHT);
     }
 
-    /// Takes in how a target dealt with a request.
-    pub fn judged(&mut self, id: &EngineId, outcome: Outcome, now: Instant) {
-        let Some(target) = self.targets.get_mut(id) else {
-            return;
-        };
+    /// Takes in how a target dealt with a request; returns for how long it is left
+    /// out now, if it is.
+    pub fn judged(&mut self, id: &EngineId, outcome: Outcome, now: Instant) -> Option<Duration> {
+        let target = self.targets.get_mut(id)?;
         match outcome {
-            Outcome::Unknown => {}
+            Outcome::Unknown => None,
             Outcome::Served => {
                 target.rate(0.0, now);
                 target.heard_at = Some(now);
                 target.strikes = 0;
                 target.suspect_until = None;
+                None
+            }
+            Outcome::Failed => {
+                target.rate(1.0, now);
+                None
+            }
+            Outcome::Leaving => {
+                target.leaving_until = Some(now + LEAVING_TIME);
+                Some(LEAVING_TIME)
             }
-            Outcome::Failed => target.rate(1.0, now),
-            Outcome::Leaving => target.leaving_until = Some(now + LEAVING_TIME),
             Outcome::Silent => {
                 target.rate(1.0, now);
                 let factor = 1 << target.strikes.min(8);
                 let time = (FIRST_SUSPICION * factor).min(LONGEST_SUSPICION);
                 target.strikes += 1;
                 target.suspect_until = Some(now + time);
+                Some(time)
             }
         }
     }
@@ -407,6 +413,19 @@
     }
 }
 
+impl Outcome {
+    /// Stable name, for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Failed => "failed",
+            Self::Silent => "silent",
+            Self::Leaving => "refused with room",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 impl Target {
     fn new(facts: TargetFacts, now: Instant) -> Self {
         Self {
--- a/crates/core/tests/serving/placement.rs
+++ b/crates/core/tests/serving/placement.rs
@@ -183,3 +183,21 @@
         assert!((5..=7).contains(&requests), "{requests} at {number}");
     }
 }
+
+#[test]
+fn a_placement_names_the_next_cheapest_targets() {
+    let targets = targets();
+    let mut rng = fastrand::Rng::with_seed(3);
+    for prompt in [5_000, 45_000, 210_000] {
+        let placement = place(&targets, prompt, &mut rng, ms(0)).unwrap();
+        let runners_up = placement.runners_up;
+        assert_eq!(runners_up.len(), 2);
+        assert!(
+            runners_up
+                .iter()
+                .all(|other| other.target != placement.target)
+        );
+        assert!(runners_up[0].excess >= 0.0);
+        assert!(runners_up[1].excess >= runners_up[0].excess);
+    }
+}
--- a/crates/daemon/src/gateway/answers.rs
+++ b/crates/daemon/src/gateway/answers.rs
@@ -82,7 +82,8 @@
         }
     }
 
-    fn status(self) -> u16 {
+    /// Status of the answer.
+    pub fn status(self) -> u16 {
         match self {
             Self::BadRequest => 400,
             Self::WrongKey => 401,
@@ -103,7 +104,7 @@
 
     /// When a new try is worth while: after the time in which the cause usually
     /// passes.
-    fn retry_after(self) -> Option<Duration> {
+    pub fn retry_after(self) -> Option<Duration> {
         match self {
             // Another instance takes the new connection.
             Self::ShuttingDown | Self::Stale => Some(Duration::from_millis(50)),
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -22,11 +22,17 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::gateway::{
-    Gateway,
-    patience::{Late, Patience},
-    reservations::Reservations,
-    upstream::{self, Connection},
+use crate::{
+    gateway::{
+        Gateway,
+        patience::{Late, Patience},
+        reservations::Reservations,
+        upstream::{self, Connection},
+    },
+    telemetry::{
+        process,
+        story::{Step, Story},
+    },
 };
 
 /// Time to connect to a target: several times the longest distance.
@@ -65,6 +71,8 @@
     pub last_event_id: Option<HeaderValue>,
     /// What is known of a stream.
     pub stream: Option<placement::Stream>,
+    /// Its log lines.
+    pub story: Rc<Story>,
 }
 
 /// How a try failed.
@@ -156,7 +164,9 @@
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
         let mut targets = self.gateway.targets.borrow_mut();
-        targets.ended(self.id, self.outcome, now);
+        let out = targets.ended(self.id, self.outcome, now);
+        drop(targets);
+        log_out(&self.target, self.outcome, out);
         self.gateway.load_changed.notify_waiters();
     }
 }
@@ -306,15 +316,12 @@
             return;
         };
         let now = gateway.clock.now();
-        tracing::warn!(
-            %request,
-            %target,
-            "request: {request} ran on {target} as it crashed: {err:#}"
-        );
+        process::target_crashed(&request, &target, &err);
         let crash = SmolStr::new(format!("{target}/{request}"));
         gateway.crashes.borrow_mut().crashed(content, crash, now);
         let mut targets = gateway.targets.borrow_mut();
-        targets.judged(&target, Outcome::Silent, now);
+        let out = targets.judged(&target, Outcome::Silent, now);
+        log_out(&target, Outcome::Silent, out);
     });
 }
 
@@ -357,7 +364,11 @@
         Ok(value) => {
             map.insert(HeaderName::from_static(name), value);
         }
-        Err(err) => tracing::error!("request: header {name} can't be `{value}`: {err}"),
+        Err(err) => {
+            let id = map.get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
+            let err = anyhow::anyhow!("header {name} can't be `{value}`: {err}");
+            process::request_faulty(id.unwrap_or_default(), &err);
+        }
     }
 }
 
@@ -402,7 +413,8 @@
         let mut targets = gateway.targets.borrow_mut();
         let known = targets.at_address(&job.service, helper);
         if let Some(id) = known.map(|target| target.facts.id.clone()) {
-            targets.judged(&id, Outcome::Leaving, now);
+            let out = targets.judged(&id, Outcome::Leaving, now);
+            log_out(&id, Outcome::Leaving, out);
         }
         return anyhow::anyhow!("refused with {status}, helper {helper} is at fault");
     }
@@ -432,14 +444,17 @@
 
 fn failed(job: &Job, flight: &Flight, failure: Failure, err: &anyhow::Error) -> Failure {
     metrics::counter!("cyclamengauge_try_failures_total", "failure" => failure.name()).increment(1);
-    tracing::info!(
-        request = %job.id,
-        target = %flight.target,
-        failure = failure.name(),
-        "request: {} at {}: {}: {err:#}",
-        job.id,
-        flight.target,
-        failure.name()
-    );
+    job.story.add(Step::TryFailed {
+        target: flight.target.clone(),
+        failure: failure.name(),
+        cause: format!("{err:#}"),
+        retries_left: flight.gateway.retries_left(&job.service),
+    });
     failure
 }
+
+fn log_out(target: &EngineId, outcome: Outcome, out: Option<Duration>) {
+    if let Some(out) = out {
+        process::target_suspect(target, outcome.name(), out);
+    }
+}
--- a/crates/daemon/src/gateway/gossip/fetch.rs
+++ b/crates/daemon/src/gateway/gossip/fetch.rs
@@ -15,6 +15,7 @@
 use crate::{
     gateway::{Gateway, upstream::Connection, watch},
     http as server,
+    telemetry::process,
 };
 
 /// Time for a peer to answer.
@@ -70,19 +71,24 @@
         if wanted.lacks_configuration(&gateway) {
             match fetch(peer, CONFIGURATION_PATH).await {
                 Ok(stored) => gateway.adopt(stored, &peer.to_string()),
-                Err(err) => tracing::warn!(%peer, "config: not fetched from {peer}: {err:#}"),
+                Err(err) => fetch_failed(peer, "the configuration", err),
             }
         }
         if wanted.lacks_list(&gateway) {
             match fetch_list(peer).await {
-                Ok(rows) => watch::adopt_list(&gateway, &rows),
-                Err(err) => tracing::warn!(%peer, "targets: not fetched from {peer}: {err:#}"),
+                Ok(rows) => watch::adopt_list(&gateway, &rows, &peer.to_string()),
+                Err(err) => fetch_failed(peer, "the list of targets", err),
             }
         }
         gateway.fetching.set(false);
     });
 }
 
+fn fetch_failed(peer: SocketAddr, what: &str, err: anyhow::Error) {
+    let err = err.context(format!("fetch {what}"));
+    process::peer_faulty(&peer.to_string(), &err);
+}
+
 async fn fetch_list(peer: SocketAddr) -> anyhow::Result<store::Rows> {
     let body = fetch(peer, TARGETS_PATH).await?;
     let list = v1::TargetList::decode(body).context("decode the list")?;
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -21,7 +21,7 @@
 use cyclamengauge_schema::v1;
 use prost::Message;
 
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, telemetry::process};
 
 pub use fetch::answer;
 
@@ -46,9 +46,14 @@
 /// Tells the peers of this instance's loads, for the life of the daemon.
 pub async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
+    let mut alive = 0;
     loop {
         let changed = gateway.load_changed.notified();
         let now = gateway.clock.now();
+        let before = std::mem::replace(&mut alive, gateway.peers.borrow().alive(now));
+        if alive != before {
+            process::peers_changed(alive, before);
+        }
         let addresses = gateway.peers.borrow_mut().round(now);
         sequence += 1;
         let datagram = messages::gossip(&gateway, sequence, now).encode_to_vec();
@@ -79,19 +84,18 @@
         };
         match v1::Gossip::decode(&buffer[..length]) {
             Ok(gossip) => learn(&gateway, gossip),
-            Err(err) => tracing::warn!(%from, "peers: {from} sent no message of ours: {err}"),
+            Err(err) => {
+                let err = anyhow::Error::new(err).context("read a message");
+                process::peer_faulty(&from.to_string(), &err);
+            }
         }
     }
 }
 
 fn learn(gateway: &Rc<Gateway>, gossip: v1::Gossip) {
     let Ok(address) = gossip.peer_address.parse::<SocketAddr>() else {
-        tracing::warn!(
-            instance = gossip.instance,
-            "peers: {} gives no address: `{}`",
-            gossip.instance,
-            gossip.peer_address
-        );
+        let err = anyhow::anyhow!("`{}` is no address", gossip.peer_address);
+        process::peer_faulty(&gossip.instance, &err);
         return;
     };
     let instance = InstanceId::new(&gossip.instance);
@@ -138,10 +142,8 @@
 
 fn learn_crashes(gateway: &Gateway, content: &v1::ContentCrashes, now: Instant) {
     let Ok(digest) = <[u8; 16]>::try_from(&content.fingerprint[..]) else {
-        tracing::warn!(
-            "peers: a fingerprint has {} bytes",
-            content.fingerprint.len()
-        );
+        let err = anyhow::anyhow!("a fingerprint has {} bytes", content.fingerprint.len());
+        process::peer_faulty("", &err);
         return;
     };
     let mut crashes = gateway.crashes.borrow_mut();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 
 mod answers;
 mod exchange;
+mod gauges;
 mod gossip;
 mod patience;
 mod relay;
@@ -33,6 +34,7 @@
 use bytes::Bytes;
 use cyclamengauge_core::{
     clock::Instant,
+    ids::ServiceId,
     serving::{
         crashes::Crashes,
         peers::{self, Peers},
@@ -49,7 +51,11 @@
 pub use requests::handle;
 pub use run::{Listeners, run, shut_down, start};
 
-use crate::{http::Connections, node::Clock};
+use crate::{
+    http::Connections,
+    node::Clock,
+    telemetry::{process, story::RequestLog},
+};
 
 /// Silence of the store beyond the bound for configurations after which this
 /// instance may have missed a change.
@@ -65,6 +71,8 @@
     pub incarnation: u64,
     /// The configuration in force.
     table: RefCell<Option<Rc<RouteTable>>>,
+    /// Since when it is in force.
+    configured_at: Cell<Instant>,
     /// The configuration in force as the store holds it, for peers.
     stored_configuration: RefCell<Bytes>,
     /// The list of targets as the store holds it, for peers.
@@ -92,6 +100,8 @@
     /// Latest call to the store that failed, and that succeeded.
     store_failed_at: Cell<Option<Instant>>,
     store_answered_at: Cell<Option<Instant>>,
+    /// Latest call about the list of targets that succeeded.
+    list_answered_at: Cell<Option<Instant>>,
     /// Told when the loads have changed, so that peers hear of it.
     load_changed: Notify,
     /// Whether SIGTERM was received, and when.
@@ -100,6 +110,8 @@
     connections: Connections,
     /// Requests of callers in progress.
     in_progress: Cell<usize>,
+    /// Log lines of requests.
+    request_log: Rc<RequestLog>,
 }
 
 impl Gateway {
@@ -110,10 +122,13 @@
         for seed in &settings.seeds {
             peers.introduce(*seed, Instant::ZERO);
         }
+        let clock = Clock::start();
         Self {
-            clock: Clock::start(),
+            request_log: Rc::new(RequestLog::new(clock)),
+            clock,
             incarnation,
             table: RefCell::default(),
+            configured_at: Cell::default(),
             stored_configuration: RefCell::default(),
             stored_list: RefCell::default(),
             list_version: Cell::default(),
@@ -130,6 +145,7 @@
             store_away: Cell::new(false),
             store_failed_at: Cell::new(None),
             store_answered_at: Cell::new(None),
+            list_answered_at: Cell::new(None),
             load_changed: Notify::new(),
             closing_since: Cell::new(None),
             connections: Connections::default(),
@@ -159,7 +175,7 @@
         let decoded = match configuration::decode(&stored) {
             Ok(decoded) => decoded,
             Err(err) => {
-                tracing::error!(source, "config: from {source}, not usable: {err:#}");
+                process::configuration_faulty(source, &err);
                 return;
             }
         };
@@ -170,12 +186,8 @@
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(decoded)));
         *self.stored_configuration.borrow_mut() = stored;
         self.load_changed.notify_waiters();
-        tracing::info!(
-            version,
-            replaced = known,
-            source,
-            "config: version {version} in force, from {source}"
-        );
+        self.configured_at.set(self.clock.now());
+        process::configured(version, known, source);
     }
 
     /// Whether the store was silent for so long that a change may be missing.
@@ -213,6 +225,18 @@
         1 + self.peers.borrow().alive(now)
     }
 
+    /// Time since the store last answered about the list of targets.
+    fn list_age(&self) -> Option<Duration> {
+        let answered_at = self.list_answered_at.get()?;
+        Some(self.clock.now() - answered_at)
+    }
+
+    /// Retries of a service's requests that this instance may still make.
+    fn retries_left(&self, service: &ServiceId) -> u64 {
+        let (instances, now) = (self.instances(), self.clock.now());
+        self.retries.borrow_mut().left(service, instances, now)
+    }
+
     fn is_closing(&self) -> bool {
         self.closing_since.get().is_some()
     }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -12,11 +12,14 @@
 use http::HeaderValue;
 use http_body_util::BodyExt;
 
-use crate::gateway::{
-    Gateway,
-    exchange::{self, Exchange, Failure, Flight, Job},
-    patience::{Late, Patience},
-    tries::{InProgress, Tries},
+use crate::{
+    gateway::{
+        Gateway,
+        exchange::{self, Exchange, Failure, Flight, Job},
+        patience::{Late, Patience},
+        tries::{InProgress, Tries},
+    },
+    telemetry::story::Step,
 };
 
 /// Longest event.
@@ -211,6 +214,7 @@
             match self.read().await {
                 Ok(Some(chunk)) => {
                     self.started = true;
+                    self.tries.note_event();
                     self.last_id = chunk.last_id;
                     return Ok(Some(chunk.bytes));
                 }
@@ -219,7 +223,12 @@
                     self.tries.completed(&self.job);
                     return Ok(None);
                 }
-                Err(broken) => self.go_on_elsewhere(broken).await?,
+                Err(broken) => {
+                    if let Err(broken) = self.go_on_elsewhere(broken).await {
+                        self.tries.cut_off(&self.job);
+                        return Err(broken);
+                    }
+                }
             }
         }
     }
@@ -237,13 +246,11 @@
     /// Asks another engine for the rest of the stream.
     async fn go_on_elsewhere(&mut self, broken: Broken) -> Result<(), Broken> {
         let target = self.events.exchange.flight.target.clone();
-        let request = &self.job.id;
-        tracing::warn!(
-            %request,
-            %target,
-            last_event = self.last_id,
-            "request: {request}: the stream from {target} broke: {broken}"
-        );
+        self.job.story.add(Step::StreamBroke {
+            target: target.clone(),
+            last_event: self.last_id,
+            cause: broken.to_string(),
+        });
         if broken.may_be_crash() {
             exchange::suspect_crash(&self.tries.gateway, &self.job, self.events.flight());
         }
@@ -265,13 +272,10 @@
         if !exchange.response.status().is_success() {
             return Err(broken);
         }
-        let (request, target) = (&self.job.id, &exchange.flight.target);
-        tracing::info!(
-            %request,
-            %target,
-            last_event = last_id,
-            "request: {request} goes on at {target} after event {last_id}"
-        );
+        self.job.story.add(Step::Resumed {
+            target: exchange.flight.target.clone(),
+            last_event: last_id,
+        });
         self.events = Events::new(exchange);
         self.started = false;
         Ok(())
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -33,6 +33,10 @@
         tries::{GivenUp, InProgress, Tries},
     },
     http as server,
+    telemetry::{
+        self, process,
+        story::{End, Step, Story},
+    },
 };
 
 /// Time for the body of a request, if the request's deadline is later.
@@ -64,7 +68,8 @@
     let arrived_at = gateway.clock.now();
     let id = text(request.headers(), headers::REQUEST_ID);
     let id = SmolStr::new(id.unwrap_or_default());
-    let prepared = prepare(gateway, &mut request, id.clone(), arrived_at).await;
+    let story = Story::begin(&gateway.request_log, id.clone());
+    let prepared = prepare(gateway, &mut request, id, &story, arrived_at).await;
     let served = match prepared {
         Ok(job) => {
             gateway.note_request(&job);
@@ -76,7 +81,7 @@
         Err(own) => Err(GivenUp::Own(own)),
     };
     if let Err(given_up) = &served {
-        log_given_up(&id, given_up, gateway.clock.now() - arrived_at);
+        end_given_up(&story, given_up);
     }
     served
 }
@@ -108,7 +113,10 @@
         let target = exchange.flight.target.clone();
         if !exchange.response.status().is_success() {
             match exchange::finish(gateway, &job, exchange).await {
-                Ok(answer) => return Ok(answers::whole(answer)),
+                Ok(answer) => {
+                    tries.answered(&job, &answer);
+                    return Ok(answers::whole(answer));
+                }
                 Err(failure) => tries.failed(&job, &target, failure)?,
             }
             continue;
@@ -118,7 +126,7 @@
         match events.next_within(gateway, &job, patience, after).await {
             Ok(Some(first)) => {
                 events.flight().started();
-                tries.first_event = Some(gateway.clock.now() - job.arrived_at);
+                tries.note_first_event(&job);
                 let head = events.head();
                 let bytes = first.bytes.clone();
                 let relay = Relay::new(job, tries, events, &first, in_progress);
@@ -130,7 +138,12 @@
                 return Ok(answers::with_head(&events.head(), BoxBody::new(())));
             }
             Err(broken) => {
-                tracing::info!(request = %job.id, %target, "request: {}: {broken}", job.id);
+                job.story.add(Step::TryFailed {
+                    target: target.clone(),
+                    failure: "broke off",
+                    cause: broken.to_string(),
+                    retries_left: gateway.retries_left(&job.service),
+                });
                 if broken.may_be_crash() {
                     exchange::suspect_crash(gateway, &job, events.flight());
                 }
@@ -161,6 +174,7 @@
     gateway: &Gateway,
     request: &mut Request,
     id: SmolStr,
+    story: &Rc<Story>,
     arrived_at: Instant,
 ) -> Result<Job, Own> {
     let table = gateway.table().ok_or(Own::NotConfigured)?;
@@ -191,16 +205,29 @@
     }
     let draw = gateway.rng.borrow_mut().f64();
     let last_event_id = text(request.headers(), headers::LAST_EVENT_ID);
+    let service = route.draw_service(draw).clone();
+    let stream = wanted_stream(&route, request.headers());
+    story.add(Step::Received {
+        route: route.name.clone(),
+        service: service.clone(),
+        account: account.clone(),
+        content: fingerprint.to_string(),
+        prompt_tokens: stream.as_ref().map(|stream| stream.prompt.get()),
+        left: gateway.clock.until(deadline),
+        configuration_version: table.version(),
+        configuration_age: arrived_at - gateway.configured_at.get(),
+    });
     Ok(Job {
         id,
+        story: Rc::clone(story),
         method: Method::from_bytes(request.method().as_str().as_bytes())
             .map_err(|_| Own::BadRequest)?,
         target,
         headers: forwarded(request.headers()),
         last_event_id: last_event_id.and_then(|id| HeaderValue::from_str(id).ok()),
         body,
-        service: route.draw_service(draw).clone(),
-        stream: wanted_stream(&route, request.headers()),
+        service,
+        stream,
         rank: table.rank(&route, account.as_ref()),
         route,
         account,
@@ -282,10 +309,8 @@
     let path = request.uri().path_and_query();
     let path = path.map_or("/", |path| path.as_str());
     path.parse().map_err(|err| {
-        tracing::warn!(
-            request = id,
-            "request: {id}: path `{path}` is malformed: {err}"
-        );
+        let err = anyhow::anyhow!("path `{path}` is malformed: {err}");
+        process::request_faulty(id, &err);
         Own::BadRequest
     })
 }
@@ -312,18 +337,18 @@
     id.to_str().ok()?.trim().parse().ok()
 }
 
-fn log_given_up(id: &str, given_up: &GivenUp, after: Duration) {
-    let (outcome, status) = match given_up {
-        GivenUp::Own(own) => (own.name(), None),
-        GivenUp::Answered(answer) => ("target-failed", Some(answer.status().as_u16())),
+fn end_given_up(story: &Story, given_up: &GivenUp) {
+    let end = match given_up {
+        GivenUp::Own(own) => End {
+            status: Some(own.status()),
+            retry_after: own.retry_after(),
+            ..End::without_answer(own.name())
+        },
+        GivenUp::Answered(answer) => End {
+            status: Some(answer.status().as_u16()),
+            ..End::without_answer("target-failed")
+        },
     };
-    metrics::counter!("cyclamengauge_requests_total", "outcome" => outcome).increment(1);
-    let after_ms = after.as_millis() as u64;
-    tracing::info!(
-        request = id,
-        outcome,
-        status,
-        after_ms,
-        "request: {id} not served: {outcome}"
-    );
+    telemetry::count_end(end.outcome);
+    story.end(&end);
 }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -9,8 +9,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
-    gateway::{self, Gateway, gossip, watch},
-    http, node, telemetry,
+    gateway::{self, Gateway, gauges, gossip, watch},
+    http, node,
+    telemetry::{self, process},
 };
 
 /// Exit code for settings with faults.
@@ -34,6 +35,10 @@
 /// Time between two looks whether the configuration has come.
 const START_POLL: Duration = Duration::from_millis(5);
 
+/// Time between two lines that sum up placements: what a process that is killed
+/// has not written.
+const PLACEMENTS_PERIOD: Duration = Duration::from_secs(1);
+
 /// Time between two looks whether a shutdown is complete.
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
@@ -91,15 +96,16 @@
     let mut terminate = signal(SignalKind::terminate()).context("listen for SIGTERM")?;
     let mut reload = signal(SignalKind::hangup()).context("listen for SIGHUP")?;
     let gateway = Rc::new(Gateway::new(settings, node::unix_ms() * 1_000));
-    tracing::info!(
-        instance = %gateway.settings.borrow().instance,
-        "start: serving on {}",
-        gateway.settings.borrow().listen
-    );
+    {
+        let settings = gateway.settings.borrow();
+        process::started(&settings.instance, gateway.incarnation, settings.listen);
+    }
     start(&gateway, listeners);
+    let state = Rc::clone(&gateway);
     actix_rt::spawn(http::serve(metrics_listen, move |_| {
         let lost = telemetry::dropped_lines();
         metrics::gauge!("cyclamengauge_log_lines_lost").set(lost as f64);
+        gauges::observe(&state);
         let text = recorder.render();
         async move { http::text(200, text) }
     }));
@@ -133,6 +139,7 @@
     actix_rt::spawn(watch::follow_configuration(Rc::clone(gateway)));
     actix_rt::spawn(watch::follow_targets(Rc::clone(gateway)));
     actix_rt::spawn(watch::join(Rc::clone(gateway)));
+    actix_rt::spawn(sum_up_placements(Rc::clone(gateway)));
     actix_rt::spawn(gossip::tell(Rc::clone(gateway), Rc::clone(&datagrams)));
     actix_rt::spawn(gossip::listen(Rc::clone(gateway), datagrams));
 }
@@ -151,6 +158,13 @@
     .await
 }
 
+async fn sum_up_placements(gateway: Rc<Gateway>) {
+    loop {
+        actix_rt::time::sleep(PLACEMENTS_PERIOD).await;
+        gateway.request_log.write_placements();
+    }
+}
+
 fn bind(address: net::SocketAddr) -> anyhow::Result<net::TcpListener> {
     net::TcpListener::bind(address).with_context(|| format!("listen on {address}"))
 }
@@ -172,9 +186,9 @@
                 .borrow_mut()
                 .set_limits(gateway::retry_limits(&settings));
             gateway.settings.borrow_mut().bounds = settings.bounds;
-            tracing::info!("reload: the settings' bounds are in force");
+            process::reloaded(None);
         }
-        Err(err) => tracing::error!("reload: the settings stay as they were: {err:#}"),
+        Err(err) => process::reloaded(Some(&err)),
     }
 }
 
@@ -183,7 +197,7 @@
 pub async fn shut_down(gateway: &Gateway) {
     let since = gateway.clock.now();
     gateway.closing_since.set(Some(since));
-    tracing::info!("shutdown: not ready any more");
+    process::shutting_down(gateway.in_progress.get(), false);
     let grace = gateway.settings.borrow().bounds.grace;
     let latest = since + grace.mul_f64(MOST_CLOSING_SHARE);
     let earliest = since + LEAST_CLOSING;
@@ -201,6 +215,6 @@
     }
     // The last answers are complete; their bytes need time to leave.
     actix_rt::time::sleep(IDLE_POLL).await;
-    let left = gateway.in_progress.get();
-    tracing::info!(left, "shutdown: complete, {left} requests cut off");
+    gateway.request_log.write_placements();
+    process::shutting_down(gateway.in_progress.get(), true);
 }
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -114,8 +114,15 @@
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .context("build a call to the store")?;
-        let answer = actix_rt::time::timeout(timeout, connection.call(request))
-            .await
+        let answer = actix_rt::time::timeout(timeout, connection.call(request)).await;
+        let result = match &answer {
+            Ok(Ok(answer)) if answer.status().is_success() => "done",
+            Ok(Ok(_)) => "refused",
+            Ok(Err(_)) => "broke off",
+            Err(_) => "no answer",
+        };
+        metrics::counter!("cyclamengauge_store_calls_total", "result" => result).increment(1);
+        let answer = answer
             .with_context(|| format!("call the store: no answer in {timeout:?}"))?
             .context("call the store")?;
         // A connection on which an answer got lost stays silent, so only one that
--- a/crates/daemon/src/gateway/tries.rs
+++ b/crates/daemon/src/gateway/tries.rs
@@ -4,8 +4,10 @@
 
 use bytes::Bytes;
 use cyclamengauge_core::{
+    clock::Instant,
     ids::EngineId,
     serving::{
+        peers,
         placement::{self, Ask, Placement, Unplaceable},
         queue::{self, Place},
         targets::Targets,
@@ -21,7 +23,10 @@
         patience::{Patience, caller_patience},
     },
     http::Busy,
-    telemetry,
+    telemetry::{
+        self,
+        story::{End, Placed, Step},
+    },
 };
 
 /// Targets that may refuse the connection before a request is given up. Nothing
@@ -129,7 +134,11 @@
     /// Whether the prompt is a long one.
     pub long: bool,
     /// Time from the arrival to the first event of a stream.
-    pub first_event: Option<Duration>,
+    first_event: Option<Duration>,
+    /// When the latest event came.
+    event_at: Option<Instant>,
+    /// Longest pause between two events.
+    longest_gap: Option<Duration>,
     excluded: Vec<EngineId>,
     sent: u32,
     unsent: u32,
@@ -145,6 +154,8 @@
             estimate: Duration::ZERO,
             long: false,
             first_event: None,
+            event_at: None,
+            longest_gap: None,
             excluded: Vec::new(),
             sent: 0,
             unsent: 0,
@@ -215,28 +226,68 @@
         Ok(())
     }
 
+    /// Notes the first event of a stream.
+    pub fn note_first_event(&mut self, job: &Job) {
+        let now = self.gateway.clock.now();
+        self.first_event = Some(now - job.arrived_at);
+        self.event_at = Some(now);
+    }
+
+    /// Notes another event of a stream.
+    pub fn note_event(&mut self) {
+        let now = self.gateway.clock.now();
+        if let Some(before) = self.event_at.replace(now) {
+            self.longest_gap = self.longest_gap.max(Some(now - before));
+        }
+    }
+
     /// Notes that the request ran to its end.
     pub fn completed(&self, job: &Job) {
         let mut crashes = self.gateway.crashes.borrow_mut();
         crashes.completed(&job.fingerprint);
-        metrics::counter!("cyclamengauge_requests_total", "outcome" => "completed").increment(1);
+        let class = class(job);
         let took = self.gateway.clock.now() - job.arrived_at;
-        metrics::histogram!("cyclamengauge_request_seconds").record(took);
-        if let Some(time) = self.first_event {
-            metrics::histogram!("cyclamengauge_first_event_seconds").record(time);
-        }
-        if !telemetry::line_allowed() {
-            return;
+        let first = self.first_event.unwrap_or(took);
+        metrics::histogram!("cyclamengauge_request_seconds", "class" => class).record(took);
+        metrics::histogram!("cyclamengauge_first_event_seconds", "class" => class).record(first);
+        if let Some(gap) = self.longest_gap {
+            metrics::histogram!("cyclamengauge_longest_gap_seconds", "class" => class).record(gap);
         }
-        tracing::info!(
-            request = %job.id,
-            took_ms = took.as_millis() as u64,
-            first_event_ms = self.first_event.map(|time| time.as_millis() as u64),
-            estimate_ms = self.estimate.as_millis() as u64,
-            tries = self.sent + self.unsent,
-            "request: {} served",
-            job.id
-        );
+        metrics::histogram!("cyclamengauge_tries").record(f64::from(self.asked()));
+        let gap_objective = job.route.gap_objective;
+        let paused = gap_objective.is_some_and(|most| self.longest_gap > Some(most));
+        let outcome = match first > job.route.objective || paused {
+            true => "late",
+            false => "served",
+        };
+        self.end(job, outcome, None);
+    }
+
+    /// Notes that a target's own refusal or failure was passed on.
+    pub fn answered(&self, job: &Job, answer: &Response<Bytes>) {
+        self.end(job, "target-answered", Some(answer.status().as_u16()));
+    }
+
+    /// Notes that a stream broke and could not go on.
+    pub fn cut_off(&self, job: &Job) {
+        self.end(job, "cut-off", None);
+    }
+
+    fn end(&self, job: &Job, outcome: &'static str, status: Option<u16>) {
+        telemetry::count_end(outcome);
+        job.story.end(&End {
+            outcome,
+            good: outcome == "served",
+            status,
+            first_event: self.first_event,
+            longest_gap: self.longest_gap,
+            retry_after: None,
+        });
+    }
+
+    /// Targets that were asked.
+    fn asked(&self) -> u32 {
+        self.sent + self.unsent
     }
 
     /// Places the request; a long prompt waits for its turn.
@@ -250,8 +301,15 @@
         {
             return Ok(placement);
         }
-        let latest = self.gateway.clock.now() + self.longest_wait(job);
+        let queued_at = self.gateway.clock.now();
+        let longest = self.longest_wait(job);
+        let latest = queued_at + longest;
         let turn = Turn::enter(&self.gateway, job, work);
+        job.story.add(Step::Queued {
+            wait: turn.expected_wait(job),
+            latest: longest,
+            peers: self.gateway.instances() - 1,
+        });
         loop {
             let wait = turn.expected_wait(job);
             if self.gateway.clock.now() + wait >= latest {
@@ -260,6 +318,8 @@
             if turn.is_next() {
                 match self.place(job) {
                     Ok(placement) if placement.wait <= queue::LEAST_BACKLOG => {
+                        let waited = self.gateway.clock.now() - queued_at;
+                        metrics::histogram!("cyclamengauge_queue_seconds").record(waited);
                         return Ok(placement);
                     }
                     // Memory comes free while others end.
@@ -361,20 +421,37 @@
     }
 
     fn log(&self, job: &Job, placement: &Placement) {
-        if !telemetry::line_allowed() {
-            return;
-        }
-        tracing::info!(
-            request = %job.id,
-            route = %job.route.name,
-            service = %job.service,
-            target = %placement.target,
-            helpers = placement.helpers.len(),
-            estimate_ms = placement.estimate.as_millis() as u64,
-            tries = self.sent + self.unsent,
-            "route: {} to {}",
-            job.id,
-            placement.target
-        );
+        let now = self.gateway.clock.now();
+        let targets = self.gateway.targets.borrow();
+        let load = targets.load(&placement.target, now);
+        let target = targets.get(&placement.target);
+        let peers = self.gateway.instances() - 1;
+        job.story.add(Step::Placed(Box::new(Placed {
+            target: placement.target.clone(),
+            helpers: placement.helpers.len() as u64,
+            estimate: placement.estimate,
+            wait: placement.wait,
+            target_requests: load.requests,
+            target_failing: target.map_or(0.0, |target| target.failure_rate(now)),
+            runners_up: runners_up(placement),
+            excluded: self.excluded.len() as u64,
+            list_age: self.gateway.list_age(),
+            peers,
+            news_age: peers::news_age(peers),
+        })));
+    }
+}
+
+fn runners_up(placement: &Placement) -> String {
+    let others = placement.runners_up.iter();
+    let others = others.map(|other| format!("{} +{:.2}", other.target, other.excess));
+    others.collect::<Vec<_>>().join(", ")
+}
+
+/// Class of a request in the metrics.
+fn class(job: &Job) -> &'static str {
+    match &job.stream {
+        Some(stream) => telemetry::length_class(stream.prompt.get()),
+        None => "plain",
     }
 }
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -93,7 +93,7 @@
     let limited = http_body_util::Limited::new(body, MAX_HELD_BYTES);
     let collected = limited.collect().await;
     let body = collected
-        .map_err(|err| anyhow::anyhow!("read the answer's body: {err}"))?
+        .map_err(|err| anyhow::anyhow!(err).context("read the answer's body"))?
         .to_bytes();
     Ok(Response::from_parts(head, body))
 }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -6,7 +6,10 @@
 use cyclamengauge_core::ids::EngineId;
 use cyclamengauge_platform::{listing, store as calls};
 
-use crate::gateway::{Gateway, store::Store};
+use crate::{
+    gateway::{Gateway, store::Store},
+    telemetry::process,
+};
 
 /// Shortest time for which the store holds a feed open.
 const LEAST_FEED_WAIT: Duration = Duration::from_millis(1_000);
@@ -35,6 +38,9 @@
 /// back, from the platform's documentation, with some slack.
 const ENTRIES_RETURN: Duration = Duration::from_millis(2_200);
 
+/// The store as a source, in log lines.
+const STORE: &str = "the store";
+
 /// Follows the configuration for the life of the daemon.
 pub async fn follow_configuration(gateway: Rc<Gateway>) {
     follow(gateway, calls::Table::Operators).await;
@@ -50,7 +56,7 @@
     let mut store = Store::new(gateway.settings.borrow().store);
     let mut pause = FIRST_PAUSE;
     while let Err(err) = announce(&gateway, &mut store).await {
-        tracing::warn!("peers: not announced yet: {err:#}");
+        process::announce_failed(&err);
         wait(&gateway, &mut pause).await;
     }
     let mut known = None;
@@ -66,7 +72,7 @@
                 }
             }
             Err(err) => {
-                tracing::warn!("peers: their addresses are not read yet: {err:#}");
+                process::announce_failed(&err.context("read the instances"));
                 wait(&gateway, &mut pause).await;
             }
         }
@@ -93,7 +99,7 @@
                 gateway.peers.borrow_mut().introduce(address, now);
             }
             Ok(_) => {}
-            Err(err) => tracing::warn!("peers: {err:#}"),
+            Err(err) => process::peer_faulty(&row.key, &err),
         }
     }
 }
@@ -103,28 +109,32 @@
     let mut pause = FIRST_PAUSE;
     let mut since = None;
     let mut known = None;
+    let mut lost_at = None;
     loop {
         if table == calls::Table::Targets {
             await_store(&gateway).await;
         }
         match step(&gateway, &mut store, table, since, &mut known).await {
             Ok(next) => {
-                if pause != FIRST_PAUSE {
-                    tracing::info!(?table, "platform: the store answers again for {table:?}");
+                if let Some(at) = lost_at.take() {
+                    process::store_back(&table, gateway.clock.now() - at);
                 }
                 since = next;
                 match table {
-                    calls::Table::Targets => gateway.list_failing.set(false),
+                    calls::Table::Targets => {
+                        gateway.list_failing.set(false);
+                        gateway.list_answered_at.set(Some(gateway.clock.now()));
+                    }
                     _ => gateway.store_away.set(false),
                 }
                 pause = FIRST_PAUSE;
                 gateway.store_answered_at.set(Some(gateway.clock.now()));
             }
             Err(err) => {
-                if pause == FIRST_PAUSE {
-                    tracing::warn!(?table, "platform: {table:?} can't be followed: {err:#}");
+                if lost_at.is_none() {
+                    lost_at = Some(gateway.clock.now());
+                    process::store_lost(&table, &err);
                 }
-                metrics::counter!("cyclamengauge_store_failures_total").increment(1);
                 gateway.store_failed_at.set(Some(gateway.clock.now()));
                 match table {
                     calls::Table::Targets => gateway.list_failing.set(true),
@@ -171,8 +181,8 @@
             return Ok(None);
         };
         match table {
-            calls::Table::Targets => adopt_list(gateway, &rows),
-            _ => apply(gateway, table, &rows),
+            calls::Table::Targets => adopt_list(gateway, &rows, STORE),
+            _ => apply(gateway, table, &rows, STORE),
         }
         return Ok(Some(rows.version));
     };
@@ -180,13 +190,10 @@
         .feed(table, since, feed_wait(gateway), FEED_SLACK)
         .await?;
     let Some(rows) = fed else {
-        tracing::info!(
-            ?table,
-            "platform: {table:?} is read anew, its history is gone"
-        );
+        process::store_history_gone(&table);
         return Ok(None);
     };
-    apply(gateway, table, &rows);
+    apply(gateway, table, &rows, STORE);
     if table == calls::Table::Targets {
         gateway.list_version.set(rows.version.max(since));
         if !rows.rows.is_empty() {
@@ -197,33 +204,33 @@
 }
 
 /// Replaces the list of targets by a whole one.
-pub fn adopt_list(gateway: &Gateway, rows: &calls::Rows) {
+pub fn adopt_list(gateway: &Gateway, rows: &calls::Rows, source: &str) {
     unlist_missing(gateway, rows);
-    apply(gateway, calls::Table::Targets, rows);
+    apply(gateway, calls::Table::Targets, rows, source);
     gateway.list_version.set(rows.version);
     gateway.listed.set(true);
 }
 
-fn apply(gateway: &Gateway, table: calls::Table, rows: &calls::Rows) {
+fn apply(gateway: &Gateway, table: calls::Table, rows: &calls::Rows, source: &str) {
     for row in &rows.rows {
         match table {
-            calls::Table::Operators => apply_configuration(gateway, row),
-            calls::Table::Targets => apply_target(gateway, row),
+            calls::Table::Operators => apply_configuration(gateway, row, source),
+            calls::Table::Targets => apply_target(gateway, row, source),
             calls::Table::Instances => {}
         }
     }
 }
 
-fn apply_configuration(gateway: &Gateway, row: &calls::Row) {
+fn apply_configuration(gateway: &Gateway, row: &calls::Row, source: &str) {
     if row.key != calls::CONFIGURATION_KEY {
         return;
     }
     if let Some(value) = &row.value {
-        gateway.adopt(Bytes::from(value.clone()), "the store");
+        gateway.adopt(Bytes::from(value.clone()), source);
     }
 }
 
-fn apply_target(gateway: &Gateway, row: &calls::Row) {
+fn apply_target(gateway: &Gateway, row: &calls::Row, source: &str) {
     let now = gateway.clock.now();
     let id = EngineId::new(&row.key);
     let Some(value) = &row.value else {
@@ -238,20 +245,12 @@
             let mut targets = gateway.targets.borrow_mut();
             let known = targets.get(&id).map(|target| &target.facts);
             if known != Some(&facts) {
-                tracing::info!(
-                    target = %facts.id,
-                    service = %facts.service,
-                    address = %facts.address,
-                    draining = facts.draining,
-                    "targets: {} listed at {}",
-                    facts.id,
-                    facts.address
-                );
+                process::target_listed(&facts, source);
             }
             targets.listed(facts, now);
         }
         Err(err) => {
-            tracing::warn!(target = row.key, "targets: {err:#}");
+            process::target_entry_faulty(&row.key, &err);
             unlist(gateway, &id);
         }
     }
@@ -278,8 +277,7 @@
     let linger = failed_at.map_or(Duration::ZERO, |at| (at + ENTRIES_RETURN) - now);
     let mut targets = gateway.targets.borrow_mut();
     if targets.get(id).is_some() {
-        let linger_ms = linger.as_millis() as u64;
-        tracing::info!(target = %id, linger_ms, "targets: {id} is listed no more");
+        process::target_unlisted(id, linger);
         targets.unlisted(id, linger, now);
     }
 }
