Choose the targets of plain services by the core, on both interfaces

The project's own interface sent calls to plain services in turn, whatever became of them: a target that broke off every call got half of them.

Change: calls take the targets that `core/serving` chooses by load, failures and data centre, and tell it how they ended, as on the platform; a second try after a call that may have run takes from the retry budget. What is left of the two ways is the at-most-once claim, which only the own interface has.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -4,6 +4,7 @@
 */
 
 mod admit;
+mod calls;
 mod completions;
 mod content;
 mod services;
--- a/crates/daemon/src/callers/services.rs
+++ b/crates/daemon/src/callers/services.rs
@@ -3,25 +3,18 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_http::{HttpMessage, Request, Response, body::BoxBody};
-use awc::error::SendRequestError;
 use bytes::Bytes;
-use cyclamengauge_core::{
-    once::{self, Finished},
-    request::Ran,
-};
+use cyclamengauge_core::{once, request::Ran};
 use cyclamengauge_schema::v1;
 use sha2::{Digest, Sha256};
 
 use crate::{
-    callers::admit,
+    callers::{admit, calls::Call},
     http,
     node::{Node, unix_ms},
     platform::Put,
 };
 
-/// Largest answer of a service that is passed on.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-
 /// When to come back if a call could not be claimed or its target not reached.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -32,18 +25,6 @@
 const ABANDON_TRIES: u32 = 60;
 const ABANDON_PAUSE: Duration = Duration::from_secs(2);
 
-/// A call on its way to a service.
-struct Call {
-    node: Rc<Node>,
-    service: v1::Service,
-    method: awc::http::Method,
-    /// Path and query on the target.
-    path: String,
-    content_type: String,
-    body: Bytes,
-    deadline: cyclamengauge_core::clock::Instant,
-}
-
 /// Counts a call as in progress until it is dropped.
 struct Counted(Rc<Node>);
 
@@ -95,7 +76,13 @@
         });
         return running.await.unwrap_or_else(|_| unknown());
     }
-    call.repeatable().await
+    match call.repeatable().await {
+        Ok(answer) => target_answer(answer.status, &answer.content_type, answer.body, false),
+        Err(ran) => {
+            let detail = "no target of the service answered in time";
+            http::problem(502, "targets-failed", detail, ran, Some(RETRY_AFTER))
+        }
+    }
 }
 
 async fn run_once(call: &Call, account: &str, key: Option<String>) -> Response<BoxBody> {
@@ -222,97 +209,6 @@
     }
 }
 
-impl Call {
-    fn declared_at_most_once(&self) -> bool {
-        self.service.at_most_once.iter().any(|route| {
-            let method = route.method.is_empty() || route.method == self.method.as_str();
-            method && self.path.starts_with(&route.path_prefix)
-        })
-    }
-
-    /// Sends the call once, over a connection of its own.
-    async fn single(&self) -> Finished {
-        let mut finished = Finished::NotSent;
-        for url in self.urls() {
-            finished = self.send(&self.node.once_client, &url).await;
-            if finished != Finished::NotSent {
-                break;
-            }
-        }
-        finished
-    }
-
-    /// Sends an idempotent call to one target after the other.
-    async fn repeatable(&self) -> Response<BoxBody> {
-        let mut ran = Ran::No;
-        for url in self.urls() {
-            match self.send(&self.node.client, &url).await {
-                Finished::Answered {
-                    status,
-                    content_type,
-                    body,
-                } => return target_answer(status, &content_type, body, false),
-                Finished::NotSent => {}
-                Finished::Unknown => ran = Ran::Unknown,
-            }
-        }
-        let detail = "no target of the service answered in time";
-        http::problem(502, "targets-failed", detail, ran, Some(RETRY_AFTER))
-    }
-
-    async fn send(&self, client: &awc::Client, url: &str) -> Finished {
-        let left = self.node.clock.until(self.deadline);
-        if left.is_zero() {
-            return Finished::NotSent;
-        }
-        let mut request = client.request(self.method.clone(), url).timeout(left);
-        if !self.content_type.is_empty() {
-            request = request.insert_header(("content-type", self.content_type.as_str()));
-        }
-        let mut response = match request.send_body(self.body.clone()).await {
-            Ok(response) => response,
-            Err(SendRequestError::Connect(_)) => return Finished::NotSent,
-            Err(_) => return Finished::Unknown,
-        };
-        let status = response.status().as_u16();
-        let content_type = response
-            .headers()
-            .get("content-type")
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or("application/octet-stream")
-            .to_owned();
-        let left = self.node.clock.until(self.deadline);
-        let payload = response.take_payload();
-        match http::collect_response(payload, MAX_ANSWER_BYTES, left).await {
-            Ok(body) => Finished::Answered {
-                status,
-                content_type,
-                body: body.to_vec(),
-            },
-            Err(_) => Finished::Unknown,
-        }
-    }
-
-    /// Targets that take new work, the next in turn first.
-    fn urls(&self) -> Vec<String> {
-        let turn = {
-            let mut directory = self.node.directory.borrow_mut();
-            let Some(entry) = directory.services.get_mut(&self.service.name) else {
-                return Vec::new();
-            };
-            entry.turn = entry.turn.wrapping_add(1);
-            entry.turn
-        };
-        let open: Vec<&v1::ServiceTarget> =
-            self.service.targets.iter().filter(|t| !t.drain).collect();
-        let count = open.len().max(1);
-        (0..open.len())
-            .map(|i| open[(turn + i) % count])
-            .map(|target| format!("http://{}{}", target.address, self.path))
-            .collect()
-    }
-}
-
 fn find(node: &Node, request: &Request) -> Option<(v1::Service, String)> {
     let rest = request.path().strip_prefix(super::SERVICES)?;
     let (name, path) = match rest.find('/') {
@@ -320,12 +216,12 @@
         None => (rest, "/"),
     };
     let directory = node.directory.borrow();
-    let entry = directory.services.get(name)?;
+    let service = directory.services.get(name)?;
     let path = match request.uri().query() {
         Some(query) => format!("{path}?{query}"),
         None => path.to_owned(),
     };
-    Some((entry.declared.clone(), path))
+    Some((service.clone(), path))
 }
 
 /// Key of the row for a call. Keys of one account cannot meet another's.
--- a/crates/daemon/src/node/configure.rs
+++ b/crates/daemon/src/node/configure.rs
@@ -4,12 +4,17 @@
 
 use cyclamengauge_core::{
     admission, dispatch, ids, intent, routing,
+    serving::targets::TargetFacts,
     units::{Tokens, TokensPerSecond},
 };
 use cyclamengauge_schema::v1;
 
 use crate::node::{Directory, Node};
 
+/// Calls that a plain service's target runs at a time, as declarations don't say:
+/// only the calls in progress count.
+const UNKNOWN_SLOTS: u32 = 1;
+
 impl Node {
     /// Adopts a configuration if it is newer than the one in force.
     pub fn adopt(self: &Rc<Self>, accepted: v1::Accepted) -> intent::Adopted {
@@ -50,9 +55,30 @@
         *self.directory.borrow_mut() = Directory::new(&declaration, &watched);
         self.configure_dispatcher(&declaration);
         self.declare_engines();
+        self.list_service_targets(&declaration);
         self.timer_changed.notify_waiters();
     }
 
+    /// Takes over which targets the plain services have.
+    fn list_service_targets(&self, declaration: &v1::Declaration) {
+        let now = self.clock.now();
+        let declared = declaration.services.iter().flat_map(|service| {
+            let targets = service.targets.iter();
+            targets.filter_map(|target| target_facts(service, target))
+        });
+        let declared: Vec<TargetFacts> = declared.collect();
+        let mut targets = self.service_targets.borrow_mut();
+        let known = targets.iter().map(|target| target.facts.id.clone());
+        let gone = known.filter(|id| declared.iter().all(|facts| &facts.id != id));
+        for id in gone.collect::<Vec<_>>() {
+            targets.unlisted(&id, Duration::ZERO, now);
+        }
+        targets.forget_gone(now);
+        for facts in declared {
+            targets.listed(facts, now);
+        }
+    }
+
     /// The engines that this instance watches and routes to.
     fn watched(&self, declaration: &v1::Declaration) -> Vec<ids::EngineId> {
         let engines = declaration.engines.iter().map(|engine| routing::Watchable {
@@ -140,3 +166,25 @@
         max_concurrent: account.max_concurrent,
     }
 }
+
+/// A plain service's target for the core. Its name is unique within its service.
+fn target_facts(service: &v1::Service, target: &v1::ServiceTarget) -> Option<TargetFacts> {
+    let (name, address) = (&target.name, &target.address);
+    let Ok(parsed) = address.parse() else {
+        // Accepted declarations hold addresses only.
+        tracing::error!(
+            "config: target {name} of {}: `{address}` is no address",
+            service.name
+        );
+        return None;
+    };
+    Some(TargetFacts {
+        id: ids::EngineId::new(format!("{}/{name}", service.name)),
+        service: ids::ServiceId::new(&service.name),
+        address: parsed,
+        data_centre: ids::DataCentreId::new(&target.data_centre),
+        slots: UNKNOWN_SLOTS,
+        draining: target.drain,
+        born_unix_ms: 0,
+    })
+}
--- a/crates/daemon/src/node/directory.rs
+++ b/crates/daemon/src/node/directory.rs
@@ -27,15 +27,6 @@
     pub declared: v1::Engine,
 }
 
-/// A plain service.
-#[derive(Clone, Debug)]
-pub struct ServiceEntry {
-    /// Its declaration.
-    pub declared: v1::Service,
-    /// Target that the next call starts with.
-    pub turn: usize,
-}
-
 /// Accounts, engines and services by name.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -43,8 +34,8 @@
     accounts: Vec<([u8; 32], AccountEntry)>,
     /// Watched engines by name.
     pub engines: HashMap<EngineId, EngineEntry>,
-    /// Services by name.
-    pub services: HashMap<String, ServiceEntry>,
+    /// Plain services by name.
+    pub services: HashMap<String, v1::Service>,
     /// The routing policy.
     pub routing: v1::RoutingPolicy,
 }
@@ -61,13 +52,8 @@
             (EngineId::new(&engine.name), entry)
         });
         let engines = engines.filter(|(id, _)| watched.contains(id));
-        let services = declaration.services.iter().map(|service| {
-            let entry = ServiceEntry {
-                declared: service.clone(),
-                turn: 0,
-            };
-            (service.name.clone(), entry)
-        });
+        let services = declaration.services.iter();
+        let services = services.map(|service| (service.name.clone(), service.clone()));
         Self {
             accounts: accounts(declaration),
             engines: engines.collect(),
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -23,12 +23,14 @@
     dispatch,
     ids::{AttemptId, EngineId, RequestId},
     intent,
+    recovery::budget,
+    serving::targets::Targets,
     units::Tokens,
 };
 use cyclamengauge_schema::v1;
 use tokio::sync::{Notify, mpsc};
 
-pub use directory::{AccountEntry, Directory, EngineEntry, ServiceEntry, decode};
+pub use directory::{AccountEntry, Directory, EngineEntry, decode};
 pub use journal::Journal;
 pub use time::{Clock, unix_ms};
 
@@ -121,6 +123,12 @@
     pub store_reachable: Cell<bool>,
     /// Bytes of request bodies held now.
     pub buffered_bytes: Cell<usize>,
+    /// Targets of plain services, and the calls in progress there.
+    pub service_targets: RefCell<Targets>,
+    /// Budget of second tries of calls to plain services.
+    pub service_budget: RefCell<budget::Budget>,
+    /// Source of chance for choices.
+    pub rng: RefCell<fastrand::Rng>,
     /// Calls to plain services in progress.
     pub service_calls: Cell<usize>,
     /// Whether the daemon is shutting down.
@@ -158,6 +166,9 @@
             once_client: client_without_reuse(),
             store_reachable: Cell::new(false),
             buffered_bytes: Cell::new(0),
+            service_targets: RefCell::default(),
+            service_budget: RefCell::default(),
+            rng: RefCell::default(),
             service_calls: Cell::new(0),
             closing: Cell::new(false),
             timer_changed: Notify::new(),
--- a/crates/load/tests/callers.rs
+++ b/crates/load/tests/callers.rs
@@ -2,8 +2,12 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -11,6 +15,10 @@
     harness::{Fleet, FleetOptions},
     model::Deployment,
 };
+use cyclamengauge_schema::v1;
+
+/// Calls to a service of which one target breaks them off.
+const CALLS: usize = 40;
 
 fn run<F: Future<Output = anyhow::Result<()>>>(test: F) {
     actix_rt::System::new().block_on(test).unwrap();
@@ -169,3 +177,39 @@
         Ok(())
     });
 }
+
+/// The core judges the targets of plain services as it does engines.
+#[test]
+fn a_target_that_breaks_off_calls_gets_few_of_them() {
+    run(async {
+        let fleet = fleet().await?;
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let broken_off = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&broken_off);
+        std::thread::spawn(move || {
+            for connection in listener.incoming() {
+                count.fetch_add(1, Ordering::Relaxed);
+                drop(connection);
+            }
+        });
+        let mut declaration = fleet.declaration();
+        let targets = &mut declaration.services[0].targets;
+        targets.push(v1::ServiceTarget {
+            name: "breaks-off".to_owned(),
+            address: address.to_string(),
+            ..targets[0].clone()
+        });
+        let version = fleet.put_in_force(declaration).await?;
+        fleet.await_version(version).await?;
+        for _ in 0..CALLS {
+            let call = post("/services/bookings/status", KEY, "", "{}");
+            let answer = ask(&fleet, call).await?;
+            assert!(!answer.starts_with("HTTP/1.1 5"), "{answer}");
+        }
+        // In turn it would have had half of them.
+        let broken_off = broken_off.load(Ordering::Relaxed);
+        assert!(broken_off <= CALLS / 4, "{broken_off} of {CALLS} calls");
+        Ok(())
+    });
+}
