--- a/crates/core/src/serving/placement/stream.rs
+++ b/crates/core/src/serving/placement/stream.rs
@@ -43,7 +43,7 @@
 
 /// Room that is kept for streams which other instances place unseen, as a multiple
 /// of their expected number.
-const UNSEEN_RESERVE: f64 = 5.0;
+const UNSEEN_RESERVE: f64 = 2.0;
 
 /// Cost of the far end of the order against the near end, in ms.
 const ORDER_MS: f64 = 60.0;
