--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -1,6 +1,6 @@
 //! The faults, drawn by seed.
 
-use std::time::Duration;
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use nix::{
     sys::signal::{Signal, kill},
@@ -24,19 +24,28 @@
 ];
 
 /// How a target deals with requests: mostly well, if it is to be faulty.
-pub fn script(seed: u64, faulty: bool) -> Box<dyn FnMut(&Received) -> Step> {
+///
+/// While `refusing` is set, it refuses all of them: each costs a retry.
+pub fn script(
+    seed: u64,
+    faulty: bool,
+    refusing: Rc<Cell<bool>>,
+) -> Box<dyn FnMut(&Received) -> Step> {
     let mut rng = fastrand::Rng::with_seed(seed);
     Box::new(move |request| {
         let stream = request.line.contains("/stream/") || request.line.contains("/fixed/");
         let draw = if faulty { rng.u32(..100) } else { 100 };
+        if refusing.get() {
+            return Step::NotRun("8,1,8");
+        }
         match (draw, stream) {
             (0..5, _) => Step::NotRun("8,1,8"),
             (5..9, _) => Step::Close,
             (9..11, false) => Step::Hang,
             (11..15, false) => Step::Raw(UNUSABLE[rng.usize(..UNUSABLE.len())]),
             (9..16, true) => Step::Broken(rng.u64(..EVENTS)),
-            (16..18, true) => Step::Stalled(rng.u64(..EVENTS)),
-            (18..20, true) => Step::HalfEvent(rng.u64(..EVENTS)),
+            (16..23, true) => Step::Stalled(rng.u64(..EVENTS)),
+            (23..25, true) => Step::HalfEvent(rng.u64(..EVENTS)),
             (_, true) => Step::Stream(EVENTS),
             (_, false) => Step::Answer(200, "whole answer"),
         }
@@ -52,7 +61,7 @@
         let (fault, daemon, pause_ms) = {
             let mut rng = soak.rng.borrow_mut();
             (
-                rng.u32(..14),
+                rng.u32(..17),
                 rng.usize(..soak.store_proxies.len()),
                 rng.u64(50..500),
             )
@@ -75,6 +84,8 @@
                 let harm = Harm::draw(&mut soak.rng.borrow_mut());
                 soak.store_proxies[daemon].set(harm);
             }
+            13..15 => soak.refusing.set(true),
+            15 => soak.refusing.set(false),
             _ => {
                 version += 1;
                 soak.store
@@ -90,12 +101,14 @@
 
 /// Ends all faults.
 pub fn end(soak: &Soak) {
+    soak.refusing.set(false);
     for proxy in soak.target_proxies.iter().chain(&soak.store_proxies) {
         proxy.set(Harm::None);
     }
     soak.store.set_mode(Mode::Serving);
     for (number, target) in soak.targets.iter().enumerate() {
-        target.set_script(Some(script(number as u64, false)));
+        let refusing = Rc::clone(&soak.refusing);
+        target.set_script(Some(script(number as u64, false, refusing)));
     }
     for daemon in 0..soak.store_proxies.len() {
         signal(soak, daemon, Signal::SIGCONT);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -24,7 +24,12 @@
 mod faults;
 mod proxy;
 
-use std::{cell::RefCell, path::Path, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    path::Path,
+    rc::Rc,
+    time::Duration,
+};
 
 use process::Process;
 use proxy::Proxy;
@@ -54,8 +59,10 @@
     store_proxies: Vec<Rc<Proxy>>,
     store: Rc<store::Store>,
     rng: RefCell<fastrand::Rng>,
+    /// Whether all targets refuse all requests.
+    refusing: Rc<Cell<bool>>,
     /// Whether callers go on.
-    running: std::cell::Cell<bool>,
+    running: Cell<bool>,
 }
 
 /// A number from the environment.
@@ -96,10 +103,12 @@
 
 async fn start(seed: u64, folder: &Path) -> Soak {
     let (store, address) = store::Store::start();
+    let refusing = Rc::new(Cell::new(false));
     let (mut targets, mut target_proxies) = (Vec::new(), Vec::new());
     for number in 0..TARGETS {
         let target = Target::start(&format!("t{number}"), Step::Hang).await;
-        target.set_script(Some(faults::script(seed * 100 + number as u64, true)));
+        let script = faults::script(seed * 100 + number as u64, true, Rc::clone(&refusing));
+        target.set_script(Some(script));
         let proxy = Proxy::start(target.address).await;
         harness::list_at(&store, &target.id, proxy.address, "ready");
         targets.push(target);
@@ -121,7 +130,8 @@
         store_proxies,
         store,
         rng: RefCell::new(fastrand::Rng::with_seed(seed)),
-        running: std::cell::Cell::new(true),
+        refusing,
+        running: Cell::new(true),
     }
 }
 
