Sum up the loads of all targets in one pass

Change: one pass over what is in progress gives the loads of all targets; only the cost of the target that got a stream is taken anew. The same choices as before: a test compares the sums with those of each target.

--- a/crates/core/src/serving/placement/stream.rs
+++ b/crates/core/src/serving/placement/stream.rs
@@ -185,8 +185,9 @@
         return Err(Unplaceable::TooLong);
     }
     let mean = mean_failure_rate(usable, now);
+    let loads = targets.loads(now);
     let views = usable.iter().map(|target| {
-        let load = targets.load(&target.facts.id, now);
+        let load = loads.get(&target.facts.id).copied().unwrap_or_default();
         let mut view = View::new(target, load, model);
         view.failing_ms = FAILING_MS * failing(target, mean, now);
         view.jitter_ms = rng.f64() * JITTER_MS * f64::from(ask.instances.min(MAX_JITTER_INSTANCES));
@@ -221,16 +222,18 @@
         let before = (unseen * rng.f64()).round().min(MAX_UNSEEN) as u32;
         let work_ms = self.work.as_secs_f64() * 1e3;
         let (memory, work, value, gap) = (self.memory, self.work, self.value, self.stream.gap);
+        let cost =
+            |search: &Self, view: &View<'_>| search.lead_cost(view, work_ms) + view.wait_ms();
+        let mut costs: Vec<f64> = self.views.iter().map(|view| cost(self, view)).collect();
         let mut any_open = self.views.iter().any(|view| view.is_open(gap));
         for _ in 0..before {
-            let views = self.views.iter();
-            let costs = views.map(|view| self.lead_cost(view, work_ms) + view.wait_ms());
-            let costs: Vec<f64> = costs.collect();
             let index = placement::cheapest_first(&costs)[0];
             self.views[index].add(memory, work, value, gap);
+            costs[index] = cost(self, &self.views[index]);
             if !any_open {
                 any_open = true;
                 self.open_ms = open_cost(&self.views, self.stream, self.model, unseen);
+                costs = self.views.iter().map(|view| cost(self, view)).collect();
             }
         }
     }
@@ -499,8 +502,10 @@
     gap: Duration,
     now: Instant,
 ) -> usize {
-    let loads = usable.iter().map(|t| targets.load(&t.facts.id, now));
-    loads.filter(|load| tolerates(load, gap)).count()
+    let loads = targets.loads(now);
+    let load = |target: &&&Target| loads.get(&target.facts.id).copied().unwrap_or_default();
+    let tolerant = usable.iter().filter(|target| tolerates(&load(target), gap));
+    tolerant.count()
 }
 
 fn tolerates(load: &Load, gap: Duration) -> bool {
--- a/crates/core/src/serving/targets.rs
+++ b/crates/core/src/serving/targets.rs
@@ -385,15 +385,33 @@
             }
         }
         for peer in self.peers.values() {
-            let age = now - peer.heard_at;
-            if let Some(load) = peer.loads.get(id).filter(|_| age <= PEER_LOAD_TIME) {
-                let backlog = load.backlog.saturating_sub(age);
-                sum.add(&Load { backlog, ..*load });
+            if let Some(load) = peer.loads.get(id).and_then(|load| peer.age(load, now)) {
+                sum.add(&load);
             }
         }
         sum
     }
 
+    /// What all instances have in progress, by target, in one pass: among hundreds
+    /// of instances and thousands of targets, few of them have any in common.
+    pub fn loads(&self, now: Instant) -> HashMap<&EngineId, Load> {
+        let mut sums: HashMap<&EngineId, Load> = HashMap::new();
+        for flight in self.flights.values() {
+            for (index, part) in flight.parts.iter().enumerate() {
+                let sum = sums.entry(&part.target).or_default();
+                sum.add(&flight.load_of(index, now));
+            }
+        }
+        for peer in self.peers.values() {
+            for (id, load) in &peer.loads {
+                if let Some(load) = peer.age(load, now) {
+                    sums.entry(id).or_default().add(&load);
+                }
+            }
+        }
+        sums
+    }
+
     /// Targets of a service that may receive new requests: those that no
     /// failure speaks against, or else all that are listed.
     pub fn usable(&self, service: &ServiceId, excluded: &[EngineId], now: Instant) -> Vec<&Target> {
@@ -472,6 +490,15 @@
     }
 }
 
+impl PeerLoads {
+    /// A load as it is likely to be now; none if it was told too long ago.
+    fn age(&self, load: &Load, now: Instant) -> Option<Load> {
+        let age = now - self.heard_at;
+        let backlog = load.backlog.saturating_sub(age);
+        (age <= PEER_LOAD_TIME).then_some(Load { backlog, ..*load })
+    }
+}
+
 impl Load {
     /// Adds the load of another request or instance.
     pub fn add(&mut self, other: &Self) {
--- a/crates/core/tests/serving/targets.rs
+++ b/crates/core/tests/serving/targets.rs
@@ -183,3 +183,27 @@
     targets.ended(failed, Outcome::Failed, ms(60_000));
     assert_eq!(targets.time_to_slot(&service).unwrap().as_millis(), 100);
 }
+
+#[test]
+fn loads_of_all_targets_are_those_of_each() {
+    let mut targets = targets();
+    let flight = targets.begin(vec![part(1, 40), part(2, 60)], Some(TRAITS), ms(0));
+    targets.started(flight);
+    targets.begin(vec![part(2, 80)], Some(TRAITS), ms(10));
+    for (peer, told_ms) in [("a", 0), ("b", 1_000)] {
+        let load = Load {
+            requests: 3,
+            backlog: Duration::from_millis(90),
+            ..Load::default()
+        };
+        let loads = HashMap::from([(id(2), load), (id(3), load)]);
+        targets.peer_loads(InstanceId::new(peer), loads, ms(told_ms));
+    }
+    for now in [ms(20), ms(1_020), ms(2_500), ms(9_000)] {
+        let all = targets.loads(now);
+        for number in 0..ENGINES {
+            let load = all.get(&id(number)).copied().unwrap_or_default();
+            assert_eq!(load, targets.load(&id(number), now), "target {number}");
+        }
+    }
+}
