--- a/crates/core/src/routing/groups.rs
+++ b/crates/core/src/routing/groups.rs
@@ -7,7 +7,7 @@
     request::Request,
     routing::{
         fleet::{Engine, Fleet, Policy},
-        plan::{Choice, Plan, Segment, Unroutable, free_memory},
+        plan::{Choice, Plan, SPLIT_FROM, Segment, Unroutable, free_memory},
     },
     units::{Tokens, TokensPerSecond},
 };
@@ -18,9 +18,6 @@
 /// Most engines in a group, as a multiple of those that its memory needs.
 const GROUP_SPREAD: usize = 3;
 
-/// Shortest prompt that is split though one engine could hold it.
-pub(super) const SPLIT_FROM: Tokens = Tokens(100_000);
-
 /// Share of an engine's memory from which a request is large for it.
 const LARGE_SHARE: f64 = 0.4;
 
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -9,13 +9,15 @@
     routing::{
         affinity::EngineIndex,
         fleet::{Engine, Fleet, Policy},
-        groups::SPLIT_FROM,
         load::{Backlog, Priority},
         mix::FIRST_LONG_LEVEL,
     },
     units::{Tokens, TokensPerSecond},
 };
 
+/// Shortest prompt that is split though one engine could hold it.
+pub(super) const SPLIT_FROM: Tokens = Tokens(100_000);
+
 /// Engines considered for one decision; more are sampled down to this number,
 /// which keeps the cost of a decision level as the fleet grows.
 const MAX_CANDIDATES: usize = 32;
--- a/crates/load/src/experiment/parts.rs
+++ b/crates/load/src/experiment/parts.rs
@@ -12,10 +12,10 @@
     units::Tokens,
 };
 
-use crate::{
-    experiment::world::INSTANCES,
-    model::{Engine, Job, Spec},
-};
+use crate::model::{Engine, Job, Spec};
+
+/// Instances that share the traffic.
+pub(super) const INSTANCES: usize = 4;
 
 /// Bits of a job's number that hold the attempt; the rest is the instance.
 const ATTEMPT_BITS: u32 = 48;
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -20,16 +20,13 @@
     experiment::{
         Figures,
         parts::{
-            self, EngineState, Snapshot, ToEngine, ToInstance, account_id, attempt_of, engine_id,
-            engine_index, fingerprint, job_of, model_id, reservation_name,
+            self, EngineState, INSTANCES, Snapshot, ToEngine, ToInstance, account_id, attempt_of,
+            engine_id, engine_index, fingerprint, job_of, model_id, reservation_name,
         },
     },
     model::{self, Arrival, Deployment, Job, Output, Spec},
 };
 
-/// Instances that share the traffic.
-pub(super) const INSTANCES: usize = 4;
-
 /// Data centres over which instances and engines are spread.
 const DATA_CENTRES: usize = 3;
 
