Log reservations, count requests by outcome and class

A target's own 4xx to a plain request counted as served.

Change: a line `reserved`, `cyclamengauge_reservations_total`, the label `class` of `cyclamengauge_requests_total`, `cyclamengauge_configuration_age_seconds`; requests are counted where their story ends, once.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -62,6 +62,8 @@
         "request", "at_unix_ms", "target", "helpers", "estimate_ms", "wait_ms", "target_requests",
         "target_failing", "runners_up", "excluded", "list_age_ms", "peers", "news_age_ms"
     ] "a target was chosen, by a list and by peers' loads of these ages";
+    "reserved" ["request", "at_unix_ms", "engines", "memory_tokens", "took_ms"]
+        "memory was reserved on engines that help to read a prompt";
     "try-failed" ["request", "at_unix_ms", "target", "failure", "cause", "retries_left"]
         "a try failed: not sent, not run, answered with a failure, broke off, silent";
     "stream-broke" ["request", "at_unix_ms", "target", "last_event", "cause"]
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
         targets::{FlightId, Outcome},
     },
     text::SmolStr,
+    units::Tokens,
 };
 use cyclamengauge_platform::headers;
 use http::{
@@ -199,10 +200,18 @@
     // An order of an earlier try may still be carried out, so each try has names
     // of its own.
     let name = format!("{}-{:08x}", job.id, gateway.rng.borrow_mut().u32(..));
+    let since = gateway.clock.now();
     let reserved = Reservations::make(placement, &name).await;
     let reservations = match reserved {
-        Ok(reservations) => reservations,
-        Err(err) => return Err(failed(job, &flight, Failure::NotSent, &err)),
+        Ok(reservations) => {
+            note_reserved(gateway, job, placement, since);
+            reservations
+        }
+        Err(err) => {
+            metrics::counter!("cyclamengauge_reservations_total", "result" => "failed")
+                .increment(1);
+            return Err(failed(job, &flight, Failure::NotSent, &err));
+        }
     };
     let opened = Connection::open(placement.address, CONNECT_TIMEOUT).await;
     let mut connection = match opened {
@@ -242,6 +251,21 @@
     accept(gateway, job, exchange).await
 }
 
+fn note_reserved(gateway: &Gateway, job: &Job, placement: &Placement, since: Instant) {
+    let holders = placement.helpers.iter();
+    let holders = holders.filter(|helper| helper.memory > Tokens(0));
+    let engines = holders.clone().count() as u64;
+    if engines == 0 {
+        return;
+    }
+    metrics::counter!("cyclamengauge_reservations_total", "result" => "made").increment(1);
+    job.story.add(Step::Reserved {
+        engines,
+        memory: holders.map(|helper| helper.memory).sum(),
+        took: gateway.clock.now() - since,
+    });
+}
+
 /// Reads the rest of an answer that is no stream.
 ///
 /// # Errors
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -46,6 +46,8 @@
     metrics::gauge!("cyclamengauge_requests_in_progress").set(gateway.in_progress.get() as f64);
     let version = gateway.configuration_version() as f64;
     metrics::gauge!("cyclamengauge_configuration_version").set(version);
+    let in_force = now - gateway.configured_at.get();
+    metrics::gauge!("cyclamengauge_configuration_age_seconds").set(in_force.as_secs_f64());
     let answered = [
         ("any", gateway.store_answered_at.get()),
         ("targets", gateway.list_answered_at.get()),
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -34,7 +34,7 @@
     },
     http as server,
     telemetry::{
-        self, process,
+        process,
         story::{End, Step, Story},
     },
 };
@@ -93,7 +93,10 @@
         let target = exchange.flight.target.clone();
         match exchange::finish(gateway, job, exchange).await {
             Ok(answer) => {
-                tries.completed(job);
+                match answer.status().is_success() {
+                    true => tries.completed(job),
+                    false => tries.answered(job, &answer),
+                }
                 return Ok(answers::whole(answer));
             }
             Err(failure) => tries.failed(job, &target, failure)?,
@@ -349,6 +352,5 @@
             ..End::without_answer("target-failed")
         },
     };
-    telemetry::count_end(end.outcome);
     story.end(&end);
 }
--- a/crates/daemon/src/gateway/tries.rs
+++ b/crates/daemon/src/gateway/tries.rs
@@ -23,10 +23,7 @@
         patience::{Patience, caller_patience},
     },
     http::Busy,
-    telemetry::{
-        self,
-        story::{End, Placed, Step},
-    },
+    telemetry::story::{self, End, Placed, Step},
 };
 
 /// Targets that may refuse the connection before a request is given up. Nothing
@@ -245,7 +242,8 @@
     pub fn completed(&self, job: &Job) {
         let mut crashes = self.gateway.crashes.borrow_mut();
         crashes.completed(&job.fingerprint);
-        let class = class(job);
+        let prompt = job.stream.as_ref().map(|stream| stream.prompt.get());
+        let class = story::class(prompt);
         let took = self.gateway.clock.now() - job.arrived_at;
         let first = self.first_event.unwrap_or(took);
         metrics::histogram!("cyclamengauge_request_seconds", "class" => class).record(took);
@@ -263,8 +261,12 @@
         self.end(job, outcome, None);
     }
 
-    /// Notes that a target's own refusal or failure was passed on.
+    /// Notes that a target's own refusal was passed on.
     pub fn answered(&self, job: &Job, answer: &Response<Bytes>) {
+        self.gateway
+            .crashes
+            .borrow_mut()
+            .completed(&job.fingerprint);
         self.end(job, "target-answered", Some(answer.status().as_u16()));
     }
 
@@ -274,7 +276,6 @@
     }
 
     fn end(&self, job: &Job, outcome: &'static str, status: Option<u16>) {
-        telemetry::count_end(outcome);
         job.story.end(&End {
             outcome,
             good: outcome == "served",
@@ -447,11 +448,3 @@
     let others = others.map(|other| format!("{} +{:.2}", other.target, other.excess));
     others.collect::<Vec<_>>().join(", ")
 }
-
-/// Class of a request in the metrics.
-fn class(job: &Job) -> &'static str {
-    match &job.stream {
-        Some(stream) => telemetry::length_class(stream.prompt.get()),
-        None => "plain",
-    }
-}
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -135,11 +135,6 @@
     }
 }
 
-/// Counts the end of a caller's request.
-pub fn count_end(outcome: &'static str) {
-    metrics::counter!("cyclamengauge_requests_total", "outcome" => outcome).increment(1);
-}
-
 /// Records a time to first token by the prompt's length class.
 pub fn first_token(prompt_tokens: u64, time: Duration) {
     let class = length_class(prompt_tokens);
--- a/crates/daemon/src/telemetry/story.rs
+++ b/crates/daemon/src/telemetry/story.rs
@@ -15,6 +15,7 @@
     clock::Instant,
     ids::{AccountId, EngineId, ServiceId},
     text::SmolStr,
+    units::Tokens,
 };
 
 use crate::{
@@ -39,6 +40,14 @@
 /// lines up to this size are written whole or not at all.
 const MAX_PLACED_BYTES: usize = 3_000;
 
+/// Class of a request whose route is not known.
+const UNKNOWN_CLASS: &str = "unknown";
+
+/// Class of a request in the metrics, by the length of its prompt.
+pub fn class(prompt_tokens: Option<u64>) -> &'static str {
+    prompt_tokens.map_or("plain", super::length_class)
+}
+
 /// A decision about a request.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -72,6 +81,15 @@
     },
     /// A target was chosen.
     Placed(Box<Placed>),
+    /// Memory was reserved on helpers.
+    Reserved {
+        /// Number of engines.
+        engines: u64,
+        /// Memory on all of them.
+        memory: Tokens,
+        /// Time that it took.
+        took: Duration,
+    },
     /// A try failed.
     TryFailed {
         /// The target.
@@ -252,6 +270,8 @@
     left_out: Cell<u64>,
     /// Targets that were asked.
     tries: Cell<u64>,
+    /// Class of the request in the metrics.
+    class: Cell<&'static str>,
     ended: Cell<bool>,
 }
 
@@ -266,6 +286,7 @@
             steps: RefCell::default(),
             left_out: Cell::new(0),
             tries: Cell::new(0),
+            class: Cell::new(UNKNOWN_CLASS),
             ended: Cell::new(false),
         })
     }
@@ -276,6 +297,9 @@
             self.log.note_placed(&self.id, &placed.target);
             self.tries.set(self.tries.get() + 1);
         }
+        if let Step::Received { prompt_tokens, .. } = &step {
+            self.class.set(class(*prompt_tokens));
+        }
         let mut steps = self.steps.borrow_mut();
         if steps.len() < MAX_STEPS {
             steps.push((self.log.clock.now(), step));
@@ -289,6 +313,12 @@
         if self.ended.replace(true) {
             return;
         }
+        metrics::counter!(
+            "cyclamengauge_requests_total",
+            "outcome" => end.outcome,
+            "class" => self.class.get()
+        )
+        .increment(1);
         let now = self.log.clock.now();
         let steps = self.steps.take();
         let plain = end.good && self.tries.get() <= 1;
@@ -357,6 +387,19 @@
                 wait.as_millis()
             ),
             Step::Placed(placed) => write_placed(request, at_unix_ms, placed),
+            Step::Reserved {
+                engines,
+                memory,
+                took,
+            } => tracing::info!(
+                event = "reserved",
+                request,
+                at_unix_ms,
+                engines,
+                memory_tokens = memory.get(),
+                took_ms = millis(*took),
+                "route: {request} has {memory} reserved on {engines} engines"
+            ),
             Step::TryFailed {
                 target,
                 failure,
@@ -419,7 +462,6 @@
 impl Drop for Story {
     fn drop(&mut self) {
         if !self.ended.get() {
-            super::count_end("caller-left");
             self.end(&End::without_answer("caller-left"));
         }
     }
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -15,6 +15,7 @@
     ids::{AccountId, DataCentreId, EngineId, InstanceId, ServiceId},
     serving::targets::TargetFacts,
     text::SmolStr,
+    units::Tokens,
 };
 use cyclamengauge_daemon::{
     node::Clock,
@@ -108,6 +109,11 @@
             peers: 4,
         },
         placed("t1"),
+        Step::Reserved {
+            engines: 2,
+            memory: Tokens(500_000),
+            took: TIME,
+        },
         Step::TryFailed {
             target: target(),
             failure: "silent",
@@ -313,7 +319,7 @@
     let seconds = started.elapsed().as_secs() as usize + 2;
     assert!(lines.len() <= seconds * 1_000, "{} lines", lines.len());
     let left_out = lines.iter().filter(|line| line["event"] == "ended");
-    assert!(left_out.clone().any(|line| line["left_out"] == 6));
+    assert!(left_out.clone().any(|line| line["left_out"] == 7));
     assert!(left_out.count() >= 500);
 }
 
