--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     client::{Client, Failure},
-    declaration, render, stories,
+    declaration, render, traces,
 };
 
 /// Exit code for a refusal.
@@ -220,10 +220,10 @@
 }
 
 fn explain_from_logs(request: &str, logs: &[PathBuf]) -> anyhow::Result<ExitCode> {
-    let lines = stories::read(logs)?;
-    match stories::explain(&lines, request) {
-        Some(story) => {
-            print!("{story}");
+    let lines = traces::read(logs)?;
+    match traces::explain(&lines, request) {
+        Some(trace) => {
+            print!("{trace}");
             Ok(ExitCode::SUCCESS)
         }
         None => {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,4 +10,4 @@
 pub mod commands;
 pub mod declaration;
 pub mod render;
-pub mod stories;
+pub mod traces;
--- a/crates/cli/src/stories.rs
+++ b/crates/cli/src/traces.rs
@@ -1,4 +1,4 @@
-//! The story of a request, from the logs of the daemons.
+//! The trace of a request, from the logs of the daemons.
 
 use std::{collections::BTreeSet, path::Path};
 
@@ -114,7 +114,7 @@
     Ok(lines)
 }
 
-/// The story of a request: its own lines, the other tries of the same content, and
+/// The trace of a request: its own lines, the other tries of the same content, and
 /// what happened to its targets and its process at that time. None if no line
 /// names the request.
 pub fn explain(lines: &[Line], request: &str) -> Option<String> {
@@ -122,14 +122,14 @@
     let Some(first) = own.first() else {
         return explain_placement(lines, request);
     };
-    let mut story = format!("request {request}\n");
+    let mut trace = format!("request {request}\n");
     for line in &own {
-        story.push_str(&format!("  {}\n", line.render()));
+        trace.push_str(&format!("  {}\n", line.render()));
     }
     let tries = other_tries(lines, &own, request);
     if !tries.is_empty() {
         let tries = tries.into_iter().collect::<Vec<_>>().join(", ");
-        story.push_str(&format!("other tries of the same content: {tries}\n"));
+        trace.push_str(&format!("other tries of the same content: {tries}\n"));
     }
     let targets: BTreeSet<&str> = own.iter().map(|line| line.text(events::TARGET)).collect();
     let last = own.last().unwrap_or(first);
@@ -145,10 +145,10 @@
         .map(|line| format!("  {}\n", line.render()))
         .collect();
     if !around.is_empty() {
-        story.push_str("meanwhile, to its targets and its process\n");
-        story.push_str(&around.concat());
+        trace.push_str("meanwhile, to its targets and its process\n");
+        trace.push_str(&around.concat());
     }
-    Some(story)
+    Some(trace)
 }
 
 /// A request without lines of its own went well, or its process was killed.
@@ -158,11 +158,11 @@
         .filter_map(|line| Some((line, line.placed(request)?)));
     let placed: Vec<(&Line, &str)> = placed.collect();
     let (last, _) = placed.last()?;
-    let mut story = format!("request {request}, without lines of its own\n");
+    let mut trace = format!("request {request}, without lines of its own\n");
     for (line, target) in &placed {
         let second = line.at_unix_ms as f64 / 1e3;
         let source = &line.source;
-        story.push_str(&format!(
+        trace.push_str(&format!(
             "  {second:.3} {source} sent to {target} in the second before\n"
         ));
     }
@@ -170,13 +170,13 @@
         line.source == last.source && line.event() == "start" && line.at_unix_ms > last.at_unix_ms
     });
     match restart {
-        Some(restart) => story.push_str(&format!(
+        Some(restart) => trace.push_str(&format!(
             "it was served in time, or in progress when its process was killed:\n  {}\n",
             restart.render()
         )),
-        None => story.push_str("it was served in time\n"),
+        None => trace.push_str("it was served in time\n"),
     }
-    Some(story)
+    Some(trace)
 }
 
 fn other_tries<'a>(lines: &'a [Line], own: &[&Line], request: &str) -> BTreeSet<&'a str> {
--- a/crates/cli/tests/stories.rs
+++ b/crates/cli/tests/traces.rs
@@ -1,6 +1,6 @@
-//! A request's story from the logs of several daemons.
+//! A request's trace from the logs of several daemons.
 
-use cyclamengauge_cli::stories::{self, Line};
+use cyclamengauge_cli::traces::{self, Line};
 
 const LOG_A: &str = r#"
 {"timestamp":"2026-12-04T05:00:00.100000Z","level":"INFO","fields":{"event":"start","instance":"a","incarnation":1,"listen":"127.0.0.1:80","message":"start"}}
@@ -29,17 +29,17 @@
 
 #[test]
 fn a_failed_request_is_told_with_its_surroundings() {
-    insta::assert_snapshot!(stories::explain(&lines(), "r1").unwrap());
+    insta::assert_snapshot!(traces::explain(&lines(), "r1").unwrap());
 }
 
 #[test]
 fn a_request_whose_process_was_killed_is_told_from_the_placements() {
-    insta::assert_snapshot!(stories::explain(&lines(), "r7").unwrap());
+    insta::assert_snapshot!(traces::explain(&lines(), "r7").unwrap());
 }
 
 #[test]
-fn an_unknown_request_has_no_story() {
-    assert_eq!(stories::explain(&lines(), "r9"), None);
+fn an_unknown_request_has_no_trace() {
+    assert_eq!(traces::explain(&lines(), "r9"), None);
 }
 
 #[test]
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -32,7 +32,7 @@
     },
     telemetry::{
         process,
-        story::{Step, Story},
+        trace::{Step, Trace},
     },
 };
 
@@ -73,7 +73,7 @@
     /// What is known of a stream.
     pub stream: Option<placement::Stream>,
     /// Its log lines.
-    pub story: Rc<Story>,
+    pub trace: Rc<Trace>,
 }
 
 /// How a try failed.
@@ -259,7 +259,7 @@
         return;
     }
     metrics::counter!("cyclamengauge_reservations_total", "result" => "made").increment(1);
-    job.story.add(Step::Reserved {
+    job.trace.add(Step::Reserved {
         engines,
         memory: holders.map(|helper| helper.memory).sum(),
         took: gateway.clock.now() - since,
@@ -468,7 +468,7 @@
 
 fn failed(job: &Job, flight: &Flight, failure: Failure, err: &anyhow::Error) -> Failure {
     metrics::counter!("cyclamengauge_try_failures_total", "failure" => failure.name()).increment(1);
-    job.story.add(Step::TryFailed {
+    job.trace.add(Step::TryFailed {
         target: flight.target.clone(),
         failure: failure.name(),
         cause: format!("{err:#}"),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -54,7 +54,7 @@
 use crate::{
     http::Connections,
     node::Clock,
-    telemetry::{process, story::RequestLog},
+    telemetry::{process, trace::RequestLog},
 };
 
 /// Silence of the store beyond the bound for configurations after which this
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -19,7 +19,7 @@
         patience::{Late, Patience},
         tries::{InProgress, Tries},
     },
-    telemetry::story::Step,
+    telemetry::trace::Step,
 };
 
 /// Longest event.
@@ -246,7 +246,7 @@
     /// Asks another engine for the rest of the stream.
     async fn go_on_elsewhere(&mut self, broken: Broken) -> Result<(), Broken> {
         let target = self.events.exchange.flight.target.clone();
-        self.job.story.add(Step::StreamBroke {
+        self.job.trace.add(Step::StreamBroke {
             target: target.clone(),
             last_event: self.last_id,
             cause: broken.to_string(),
@@ -272,7 +272,7 @@
         if !exchange.response.status().is_success() {
             return Err(broken);
         }
-        self.job.story.add(Step::Resumed {
+        self.job.trace.add(Step::Resumed {
             target: exchange.flight.target.clone(),
             last_event: last_id,
         });
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -35,7 +35,7 @@
     http as server,
     telemetry::{
         process,
-        story::{End, Step, Story},
+        trace::{End, Step, Trace},
     },
 };
 
@@ -68,8 +68,8 @@
     let arrived_at = gateway.clock.now();
     let id = text(request.headers(), headers::REQUEST_ID);
     let id = SmolStr::new(id.unwrap_or_default());
-    let story = Story::begin(&gateway.request_log, id.clone());
-    let prepared = prepare(gateway, &mut request, id, &story, arrived_at).await;
+    let trace = Trace::begin(&gateway.request_log, id.clone());
+    let prepared = prepare(gateway, &mut request, id, &trace, arrived_at).await;
     let served = match prepared {
         Ok(job) => {
             gateway.note_request(&job);
@@ -81,7 +81,7 @@
         Err(own) => Err(GivenUp::Own(own)),
     };
     if let Err(given_up) = &served {
-        end_given_up(&story, given_up);
+        end_given_up(&trace, given_up);
     }
     served
 }
@@ -141,7 +141,7 @@
                 return Ok(answers::with_head(&events.head(), BoxBody::new(())));
             }
             Err(broken) => {
-                job.story.add(Step::TryFailed {
+                job.trace.add(Step::TryFailed {
                     target: target.clone(),
                     failure: "broke off",
                     cause: broken.to_string(),
@@ -177,7 +177,7 @@
     gateway: &Gateway,
     request: &mut Request,
     id: SmolStr,
-    story: &Rc<Story>,
+    trace: &Rc<Trace>,
     arrived_at: Instant,
 ) -> Result<Job, Own> {
     let table = gateway.table().ok_or(Own::NotConfigured)?;
@@ -210,7 +210,7 @@
     let last_event_id = text(request.headers(), headers::LAST_EVENT_ID);
     let service = route.draw_service(draw).clone();
     let stream = wanted_stream(&route, request.headers());
-    story.add(Step::Received {
+    trace.add(Step::Received {
         route: route.name.clone(),
         service: service.clone(),
         account: account.clone(),
@@ -222,7 +222,7 @@
     });
     Ok(Job {
         id,
-        story: Rc::clone(story),
+        trace: Rc::clone(trace),
         method: Method::from_bytes(request.method().as_str().as_bytes())
             .map_err(|_| Own::BadRequest)?,
         target,
@@ -340,7 +340,7 @@
     id.to_str().ok()?.trim().parse().ok()
 }
 
-fn end_given_up(story: &Story, given_up: &GivenUp) {
+fn end_given_up(trace: &Trace, given_up: &GivenUp) {
     let end = match given_up {
         GivenUp::Own(own) => End {
             status: Some(own.status()),
@@ -352,5 +352,5 @@
             ..End::without_answer("target-failed")
         },
     };
-    story.end(&end);
+    trace.end(&end);
 }
--- a/crates/daemon/src/gateway/tries.rs
+++ b/crates/daemon/src/gateway/tries.rs
@@ -23,7 +23,7 @@
         patience::{Patience, caller_patience},
     },
     http::Busy,
-    telemetry::story::{self, End, Placed, Step},
+    telemetry::trace::{self, End, Placed, Step},
 };
 
 /// Targets that may refuse the connection before a request is given up. Nothing
@@ -243,7 +243,7 @@
         let mut crashes = self.gateway.crashes.borrow_mut();
         crashes.completed(&job.fingerprint);
         let prompt = job.stream.as_ref().map(|stream| stream.prompt.get());
-        let class = story::class(prompt);
+        let class = trace::class(prompt);
         let took = self.gateway.clock.now() - job.arrived_at;
         let first = self.first_event.unwrap_or(took);
         metrics::histogram!("cyclamengauge_request_seconds", "class" => class).record(took);
@@ -276,7 +276,7 @@
     }
 
     fn end(&self, job: &Job, outcome: &'static str, status: Option<u16>) {
-        job.story.end(&End {
+        job.trace.end(&End {
             outcome,
             good: outcome == "served",
             status,
@@ -306,7 +306,7 @@
         let longest = self.longest_wait(job);
         let latest = queued_at + longest;
         let turn = Turn::enter(&self.gateway, job, work);
-        job.story.add(Step::Queued {
+        job.trace.add(Step::Queued {
             wait: turn.expected_wait(job),
             latest: longest,
             peers: self.gateway.instances() - 1,
@@ -427,7 +427,7 @@
         let load = targets.load(&placement.target, now);
         let target = targets.get(&placement.target);
         let peers = self.gateway.instances() - 1;
-        job.story.add(Step::Placed(Box::new(Placed {
+        job.trace.add(Step::Placed(Box::new(Placed {
             target: placement.target.clone(),
             helpers: placement.helpers.len() as u64,
             estimate: placement.estimate,
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -6,7 +6,7 @@
 
 mod output;
 pub mod process;
-pub mod story;
+pub mod trace;
 
 use std::{cell::RefCell, fmt, time::Duration};
 
--- a/crates/daemon/src/telemetry/story.rs
+++ b/crates/daemon/src/telemetry/trace.rs
@@ -261,7 +261,7 @@
 
 /// The lines of one request. Dropped without an end, its caller went away.
 #[derive(Debug)]
-pub struct Story {
+pub struct Trace {
     log: Rc<RequestLog>,
     id: SmolStr,
     arrived_at: Instant,
@@ -275,7 +275,7 @@
     ended: Cell<bool>,
 }
 
-impl Story {
+impl Trace {
     /// Begins with the arrival of a request.
     pub fn begin(log: &Rc<RequestLog>, id: SmolStr) -> Rc<Self> {
         Rc::new(Self {
@@ -459,7 +459,7 @@
     }
 }
 
-impl Drop for Story {
+impl Drop for Trace {
     fn drop(&mut self) {
         if !self.ended.get() {
             self.end(&End::without_answer("caller-left"));
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -21,7 +21,7 @@
     node::Clock,
     telemetry::{
         self, Output, process,
-        story::{End, Placed, RequestLog, Step, Story},
+        trace::{End, Placed, RequestLog, Step, Trace},
     },
 };
 use serde_json::Value;
@@ -171,9 +171,9 @@
 #[test]
 fn lines_about_requests_are_those_of_the_catalogue() {
     let lines = written(|| {
-        let story = Story::begin(&log(), SmolStr::new("r1"));
-        steps().into_iter().for_each(|step| story.add(step));
-        story.end(&end(false));
+        let trace = Trace::begin(&log(), SmolStr::new("r1"));
+        steps().into_iter().for_each(|step| trace.add(step));
+        trace.end(&end(false));
     });
     assert_complete(events::REQUEST_EVENTS, &lines);
 }
@@ -258,9 +258,9 @@
     let log = log();
     let lines = written(|| {
         for number in 0..64 {
-            let story = Story::begin(&log, SmolStr::new(format!("r{number}")));
-            story.add(placed("t1"));
-            story.end(&end(true));
+            let trace = Trace::begin(&log, SmolStr::new(format!("r{number}")));
+            trace.add(placed("t1"));
+            trace.end(&end(true));
         }
         log.write_placements();
     });
@@ -284,9 +284,9 @@
     let lines = written(|| {
         // The first one is a sample.
         for (id, targets) in [("r0", ["t1"].as_slice()), ("r1", &["t1", "t2"])] {
-            let story = Story::begin(&log, SmolStr::new(id));
-            targets.iter().for_each(|target| story.add(placed(target)));
-            story.end(&end(true));
+            let trace = Trace::begin(&log, SmolStr::new(id));
+            targets.iter().for_each(|target| trace.add(placed(target)));
+            trace.end(&end(true));
         }
     });
     let of_r1 = lines.iter().filter(|line| line[events::REQUEST] == "r1");
@@ -294,12 +294,12 @@
 }
 
 #[test]
-fn a_request_whose_caller_left_has_its_story() {
+fn a_request_whose_caller_left_has_its_trace() {
     let log = log();
     let lines = written(|| {
-        let story = Story::begin(&log, SmolStr::new("r1"));
-        story.add(placed("t1"));
-        drop(story);
+        let trace = Trace::begin(&log, SmolStr::new("r1"));
+        trace.add(placed("t1"));
+        drop(trace);
     });
     assert_eq!(names(&lines), ["placed", "ended"]);
     assert_eq!(lines[1]["outcome"], "caller-left");
@@ -311,9 +311,9 @@
     let started = Instant::now();
     let lines = written(|| {
         for number in 0..2_000 {
-            let story = Story::begin(&log, SmolStr::new(format!("r{number}")));
-            steps().into_iter().for_each(|step| story.add(step));
-            story.end(&end(false));
+            let trace = Trace::begin(&log, SmolStr::new(format!("r{number}")));
+            steps().into_iter().for_each(|step| trace.add(step));
+            trace.end(&end(false));
         }
     });
     let seconds = started.elapsed().as_secs() as usize + 2;
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Soak, TARGETS, harness,
-    proxy::Harm,
+    proxy::Impairment,
     store::Mode,
     target::{Received, Step},
 };
@@ -77,12 +77,12 @@
             7 => soak.store.set_mode(Mode::Serving),
             8..11 => {
                 let mut rng = soak.rng.borrow_mut();
-                let harm = Harm::draw(&mut rng);
-                soak.target_proxies[rng.usize(..TARGETS)].set(harm);
+                let impairment = Impairment::draw(&mut rng);
+                soak.target_proxies[rng.usize(..TARGETS)].set(impairment);
             }
             11..13 => {
-                let harm = Harm::draw(&mut soak.rng.borrow_mut());
-                soak.store_proxies[daemon].set(harm);
+                let impairment = Impairment::draw(&mut soak.rng.borrow_mut());
+                soak.store_proxies[daemon].set(impairment);
             }
             13..15 => soak.refusing.set(true),
             15 => soak.refusing.set(false),
@@ -103,7 +103,7 @@
 pub fn end(soak: &Soak) {
     soak.refusing.set(false);
     for proxy in soak.target_proxies.iter().chain(&soak.store_proxies) {
-        proxy.set(Harm::None);
+        proxy.set(Impairment::None);
     }
     soak.store.set_mode(Mode::Serving);
     for (number, target) in soak.targets.iter().enumerate() {
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -1,7 +1,7 @@
 //! Random faults against real daemon processes, by seed.
 //!
 //! Daemons are stopped, paused, killed and restarted by signals, the store falls
-//! silent or refuses, targets spoil answers, hang and refuse, and proxies harm the
+//! silent or refuses, targets spoil answers, hang and refuse, and proxies impair the
 //! connections to targets and from single daemons to the store, in series and
 //! overlapping. What callers and targets see is checked against the promises.
 //! `CYCLAMENGAUGE_SOAK_SEEDS` gives the number of seeds, `CYCLAMENGAUGE_SOAK_FROM`
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback proxy that harms the connections it carries.
+//! A loopback proxy that impairs the connections it carries.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -10,7 +10,7 @@
 
 /// How connections fare.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Harm {
+pub enum Impairment {
     /// Bytes pass.
     None,
     /// Bytes pass late.
@@ -25,7 +25,7 @@
     Silent,
 }
 
-impl Harm {
+impl Impairment {
     /// One of the kinds, as often as the others.
     pub fn draw(rng: &mut fastrand::Rng) -> Self {
         match rng.u32(..6) {
@@ -50,7 +50,7 @@
 /// A proxy before one server.
 pub struct Proxy {
     pub address: SocketAddr,
-    harm: Cell<Harm>,
+    impairment: Cell<Impairment>,
     changed: Notify,
 }
 
@@ -60,7 +60,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let proxy = Rc::new(Self {
             address: listener.local_addr().unwrap(),
-            harm: Cell::new(Harm::None),
+            impairment: Cell::new(Impairment::None),
             changed: Notify::new(),
         });
         let state = Rc::clone(&proxy);
@@ -72,9 +72,9 @@
         proxy
     }
 
-    /// Harms open and new connections from now on.
-    pub fn set(&self, harm: Harm) {
-        self.harm.set(harm);
+    /// Impairs open and new connections from now on.
+    pub fn set(&self, impairment: Impairment) {
+        self.impairment.set(impairment);
         self.changed.notify_waiters();
     }
 }
@@ -84,7 +84,7 @@
         return;
     };
     for stream in [&client, &server] {
-        // Small messages must not wait for each other; the harm decides.
+        // Small messages must not wait for each other; the impairment decides.
         let _ = stream.set_nodelay(true);
         // Closing resets, as nothing may be delivered after a reset.
         let _ = stream.set_zero_linger();
@@ -103,7 +103,7 @@
 }
 
 async fn until_reset(proxy: &Proxy) {
-    while proxy.harm.get() != Harm::Reset {
+    while proxy.impairment.get() != Impairment::Reset {
         proxy.changed.notified().await;
     }
 }
@@ -118,20 +118,20 @@
     let mut buffer = [0; 16 * 1024];
     loop {
         let read = from.read(&mut buffer).await;
-        while proxy.harm.get() == Harm::Silent {
+        while proxy.impairment.get() == Impairment::Silent {
             proxy.changed.notified().await;
         }
-        if let Harm::Delayed(time) = proxy.harm.get() {
+        if let Impairment::Delayed(time) = proxy.impairment.get() {
             actix_rt::time::sleep(time).await;
         }
-        let harm = proxy.harm.get();
+        let impairment = proxy.impairment.get();
         match read {
             Ok(0) | Err(_) => {
                 // The end of the connection has to reach the other side too.
                 let _ = to.shutdown().await;
                 return;
             }
-            Ok(_) if harm.loses(to_server) => {}
+            Ok(_) if impairment.loses(to_server) => {}
             Ok(length) => {
                 if to.write_all(&buffer[..length]).await.is_err() {
                     return;
