--- a/crates/load/src/harness/fleet.rs
+++ b/crates/load/src/harness/fleet.rs
@@ -12,7 +12,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    harness::{Process, config},
+    harness::{Process, config, process},
     model::{Deployment, Spec},
 };
 
@@ -401,8 +401,15 @@
 /// Addresses with ports that the system has free now, on a loopback address of
 /// this installation's own. Outgoing connections come from 127.0.0.1, so none of
 /// them can take a port between here and the start of the process it is for.
-fn free_addresses(count: usize) -> anyhow::Result<Vec<String>> {
+///
+/// # Errors
+///
+/// If the system has no free port on that address.
+pub fn free_addresses(count: usize) -> anyhow::Result<Vec<String>> {
     let own = own_address();
+    // A process that starts now would keep the ports taken until its exec. The guard is
+    // dropped after the listeners.
+    let _guard = process::lock_process_starts();
     let bound: Vec<TcpListener> = (0..count)
         .map(|_| TcpListener::bind((own, 0)))
         .collect::<Result<_, _>>()
--- a/crates/load/src/harness/mod.rs
+++ b/crates/load/src/harness/mod.rs
@@ -13,5 +13,5 @@
 pub use client::{Answer, Booking, Caller, Ended};
 pub(crate) use config::bearer;
 pub use config::{ACCOUNT_KEY, MODEL, OPERATOR_KEY, declaration, settings};
-pub use fleet::{Fleet, FleetOptions};
+pub use fleet::{Fleet, FleetOptions, free_addresses};
 pub use process::Process;
--- a/crates/load/src/harness/process.rs
+++ b/crates/load/src/harness/process.rs
@@ -4,6 +4,7 @@
     fs::File,
     path::Path,
     process::{Child, Command, Stdio},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -16,6 +17,18 @@
 /// Time between two looks at a process that is to end.
 const POLL: Duration = Duration::from_millis(20);
 
+/// Held while a process is started. Between fork and exec, the new process has a copy
+/// of every socket of this one.
+static STARTING_PROCESS: Mutex<()> = Mutex::new(());
+
+/// Keeps this process from starting others until the guard is dropped. A listening
+/// socket that is closed under the guard leaves its port free.
+pub(super) fn lock_process_starts() -> MutexGuard<'static, ()> {
+    STARTING_PROCESS
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A running program.
 pub struct Process {
     child: Child,
@@ -117,6 +130,8 @@
 
 fn spawn(program: &Path, log: &Path, arguments: &[String]) -> anyhow::Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
+    // `spawn` returns after the exec, which closes the copies of the sockets.
+    let _guard = lock_process_starts();
     let child = Command::new(program)
         .args(arguments)
         .stdin(Stdio::null())
