Report placements to all peers at once, and cross each link between zones once

Cause: an instance sent its complete state to at most 40 peers a round, so with 117 peers a placement was known 725 ms later on average, against an objective of 300 ms. Instances chose the same engines meanwhile, and the order of long prompts stood on old reports.

Change: a placement and a change of the long-prompt queue are reported to all live peers 1 ms later, in a message with the changed loads only; progress 60 ms later; the complete state every 400 ms, which makes up for losses. A message to a data centre with more than four live peers goes to one of them, which forwards it. Reports are merged by their number, since a forwarded one may be overtaken.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 - [`cost`] estimates the cost of a prompt to an engine and to the streams on it;
 - [`targets`] tracks the targets, their health and their load;
 - [`peers`] tracks the other instances;
+- [`dissemination`] schedules the reports of loads to them;
 - [`placement`] chooses the target of a request;
 - [`queue`] orders long prompts across instances;
 - [`rate`] measures event rates;
@@ -14,6 +15,7 @@
 
 pub mod cost;
 pub mod crashes;
+pub mod dissemination;
 pub mod peers;
 pub mod placement;
 pub mod queue;
--- a/crates/core/src/serving/peers.rs
+++ b/crates/core/src/serving/peers.rs
@@ -7,23 +7,29 @@
     time::Duration,
 };
 
-use crate::{clock::Instant, ids::InstanceId};
-
-/// Time that each recipient adds to the shortest interval between two rounds.
-/// With few peers, all of them receive a placement before the next one is likely.
-const MIN_SEND_INTERVAL_PER_PEER: Duration = Duration::from_millis(6);
+use crate::{
+    clock::Instant,
+    ids::{DataCentreId, InstanceId},
+    serving::dissemination,
+};
 
 /// Time for a message to arrive and to be processed.
 const MESSAGE_TRANSIT_TIME: Duration = Duration::from_millis(5);
+/// Maximum number of recipients of a complete state in one round. It bounds the
+/// gossip traffic of an instance with hundreds of peers in its data centre; a complete
+/// state to all of them then takes several rounds.
+const MAX_FANOUT: usize = 40;
 
-/// Longest interval between two rounds; well below the age from which a peer's
-/// loads are ignored.
-pub const MAX_SEND_INTERVAL: Duration = Duration::from_millis(400);
+/// Maximum number of recipients of a message with changes, and of a forwarded message.
+const MAX_CHANGE_FANOUT: usize = 320;
 
-/// Maximum number of recipients in one round. It bounds the gossip traffic of an
-/// instance with hundreds of peers; a message to all of them then takes several
-/// rounds.
-const MAX_FANOUT: usize = 40;
+/// Number of live peers in another data centre above which one of them forwards a
+/// message to the others.
+const MAX_DIRECT_REMOTE_PEERS: usize = 4;
+
+/// Time since the latest message of a peer up to which messages are forwarded by it:
+/// it sends at least two messages in this time.
+const FORWARDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Time without messages after which a peer no longer counts as alive.
 const ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -52,6 +58,8 @@
     last_received_at: Instant,
     has_sent_message: bool,
     last_sent_at: Instant,
+    /// Known from its messages.
+    data_centre: Option<DataCentreId>,
 }
 
 impl Peer {
@@ -59,6 +67,44 @@
         let is_silent = now - self.last_received_at > SILENT_AFTER;
         !is_silent || now - self.last_sent_at >= SILENT_SEND_INTERVAL
     }
+
+    fn is_alive(&self, now: Instant) -> bool {
+        self.has_sent_message && now - self.last_received_at <= ALIVE_TIMEOUT
+    }
+}
+
+/// Sender of a gossip message.
+#[derive(Clone, Copy, Debug)]
+pub struct Sender<'a> {
+    /// Id of the instance.
+    pub instance: &'a InstanceId,
+    /// Address at which it listens for its peers.
+    pub address: SocketAddr,
+    /// Data centre in which it runs.
+    pub data_centre: &'a DataCentreId,
+}
+
+/// Recipient of a gossip message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Recipient {
+    /// Address at which it listens for its peers.
+    pub address: SocketAddr,
+    /// Whether it forwards the message to the other instances in its data centre.
+    pub forwards: bool,
+}
+
+/// How a message relates to the earlier ones of its sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reception {
+    /// It comes from an earlier process of the instance and has no effect.
+    Outdated,
+    /// The same process sent a newer one before; forwarded messages overtake others.
+    Late,
+    /// It is the newest one of a process that is known.
+    Newest,
+    /// It is the first one of a process; what an earlier process of the instance
+    /// reported no longer holds.
+    NewProcess,
 }
 
 /// Number of a gossip message; orders the messages of one sender.
@@ -76,7 +122,7 @@
     peers: BTreeMap<SocketAddr, Peer>,
     /// Number and arrival of the latest message of each sender.
     latest_messages: HashMap<InstanceId, (MessageNumber, Instant)>,
-    /// Last recipient of the previous round.
+    /// Last direct recipient of the previous round of complete states.
     last_recipient: Option<SocketAddr>,
 }
 
@@ -88,30 +134,42 @@
             last_received_at: now,
             has_sent_message: false,
             last_sent_at: now,
+            data_centre: None,
         });
     }
 
     /// Number of peers that sent a message recently.
     pub fn alive_count(&self, now: Instant) -> u32 {
-        let is_alive =
-            |peer: &&Peer| peer.has_sent_message && now - peer.last_received_at <= ALIVE_TIMEOUT;
-        self.peers.values().filter(is_alive).count() as u32
+        let alive = self.peers.values().filter(|peer| peer.is_alive(now));
+        alive.count() as u32
     }
 
-    /// Records the arrival of a message. Returns whether the message is newer than
-    /// all earlier ones of its sender; an outdated message has no effect.
+    /// Records the arrival of a message and compares it with the earlier ones of its
+    /// sender.
     pub fn accept_message(
         &mut self,
-        instance: &InstanceId,
-        address: SocketAddr,
+        sender: Sender<'_>,
         message_number: MessageNumber,
         now: Instant,
-    ) -> bool {
+    ) -> Reception {
+        let Sender {
+            instance,
+            address,
+            data_centre,
+        } = sender;
+        let mut reception = Reception::NewProcess;
         if let Some((latest, at)) = self.latest_messages.get(instance) {
             let is_replacement = message_number.incarnation != latest.incarnation
                 && now - *at >= INCARNATION_TIMEOUT;
+            let is_same_process = message_number.incarnation == latest.incarnation;
             if message_number <= *latest && !is_replacement {
-                return false;
+                return match is_same_process {
+                    true => Reception::Late,
+                    false => Reception::Outdated,
+                };
+            }
+            if is_same_process {
+                reception = Reception::Newest;
             }
         }
         self.latest_messages
@@ -120,47 +178,141 @@
         if let Some(peer) = self.peers.get_mut(&address) {
             peer.last_received_at = now;
             peer.has_sent_message = true;
+            if peer.data_centre.as_ref() != Some(data_centre) {
+                peer.data_centre = Some(data_centre.clone());
+            }
         }
-        true
+        reception
     }
 
-    /// Starts a gossip round and returns its recipients: all due peers, or a bounded
-    /// number of them in rotation.
-    pub fn start_round(&mut self, now: Instant) -> Vec<SocketAddr> {
+    /// Recipients of a message with changes from an instance in `data_centre`: all live
+    /// peers there and in small data centres, and one peer of each other data centre,
+    /// which forwards the message.
+    pub fn change_recipients(
+        &self,
+        data_centre: &DataCentreId,
+        rng: &mut fastrand::Rng,
+        now: Instant,
+    ) -> Vec<Recipient> {
+        let mut recipients = self.forwarders(data_centre, rng, now);
+        let direct = self.direct_recipients(data_centre, now);
+        recipients.extend(direct.into_iter().take(MAX_CHANGE_FANOUT));
+        recipients
+    }
+
+    /// Recipients of a message that a peer in another data centre has sent to be
+    /// forwarded: the live peers in this instance's `data_centre`.
+    pub fn forward_recipients(&self, data_centre: &DataCentreId, now: Instant) -> Vec<SocketAddr> {
+        let local = self
+            .live_peers(now)
+            .filter(|(_, peer)| peer.data_centre.as_ref() == Some(data_centre));
+        let addresses = local.map(|(address, _)| *address);
+        addresses.take(MAX_CHANGE_FANOUT).collect()
+    }
+
+    /// Starts a round of complete states and returns its recipients: those of a message
+    /// with changes and peers that sent no message lately, or a bounded number of them
+    /// in rotation.
+    pub fn start_round(
+        &mut self,
+        data_centre: &DataCentreId,
+        rng: &mut fastrand::Rng,
+        now: Instant,
+    ) -> Vec<Recipient> {
         self.peers
             .retain(|_, peer| now - peer.last_received_at <= REMOVE_AFTER);
         self.latest_messages
             .retain(|_, (_, at)| now - *at <= REMOVE_AFTER);
-        let due = self.peers.iter().filter(|(_, peer)| peer.is_due(now));
-        let due: Vec<SocketAddr> = due.map(|(address, _)| *address).collect();
-        let last_recipient = self.last_recipient;
-        let later = due
+        let silent = self
+            .peers
             .iter()
-            .filter(|address| Some(**address) > last_recipient);
-        let earlier = due
-            .iter()
-            .filter(|address| Some(**address) <= last_recipient);
-        let count = due.len().min(MAX_FANOUT);
-        let recipients: Vec<SocketAddr> = later.chain(earlier).take(count).copied().collect();
-        for address in &recipients {
-            if let Some(peer) = self.peers.get_mut(address) {
+            .filter(|(_, peer)| !peer.is_alive(now) && peer.is_due(now));
+        let silent = silent.map(|(address, _)| Recipient::direct(*address));
+        let mut due: Vec<Recipient> = silent.collect();
+        due.extend(self.direct_recipients(data_centre, now));
+        due.sort_by_key(|recipient| recipient.address);
+        let first = due.partition_point(|r| Some(r.address) <= self.last_recipient);
+        due.rotate_left(first);
+        due.truncate(MAX_FANOUT);
+        for recipient in &due {
+            if let Some(peer) = self.peers.get_mut(&recipient.address) {
                 peer.last_sent_at = now;
             }
         }
-        self.last_recipient = recipients.last().copied();
-        recipients
+        self.last_recipient = due.last().map(|recipient| recipient.address);
+        due.extend(self.forwarders(data_centre, rng, now));
+        due
+    }
+
+    fn live_peers(&self, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.is_alive(now))
+    }
+
+    /// Live peers that get messages without a forwarder.
+    fn direct_recipients(&self, data_centre: &DataCentreId, now: Instant) -> Vec<Recipient> {
+        let forwarded_to = self.forwarded_data_centres(data_centre, now);
+        let direct = self.live_peers(now).filter(|(_, peer)| {
+            let data_centre = peer.data_centre.as_ref();
+            data_centre.is_none_or(|id| !forwarded_to.contains_key(id))
+        });
+        direct
+            .map(|(address, _)| Recipient::direct(*address))
+            .collect()
+    }
+
+    /// One peer of each data centre whose messages are forwarded.
+    fn forwarders(
+        &self,
+        data_centre: &DataCentreId,
+        rng: &mut fastrand::Rng,
+        now: Instant,
+    ) -> Vec<Recipient> {
+        let forwarded_to = self.forwarded_data_centres(data_centre, now);
+        let forwarders = forwarded_to.values().map(|candidates| Recipient {
+            address: candidates[rng.usize(..candidates.len())],
+            forwards: true,
+        });
+        forwarders.collect()
+    }
+
+    /// The other data centres with more than [`MAX_DIRECT_REMOTE_PEERS`] peers that can
+    /// forward messages, with the addresses of these peers.
+    fn forwarded_data_centres(
+        &self,
+        data_centre: &DataCentreId,
+        now: Instant,
+    ) -> BTreeMap<&DataCentreId, Vec<SocketAddr>> {
+        let mut candidates: BTreeMap<&DataCentreId, Vec<SocketAddr>> = BTreeMap::new();
+        for (address, peer) in self.live_peers(now) {
+            let remote = peer.data_centre.as_ref().filter(|id| *id != data_centre);
+            if let Some(remote) = remote
+                && now - peer.last_received_at <= FORWARDER_TIMEOUT
+            {
+                candidates.entry(remote).or_default().push(*address);
+            }
+        }
+        candidates.retain(|_, addresses| addresses.len() > MAX_DIRECT_REMOTE_PEERS);
+        candidates
     }
 }
 
-/// Expected age of the latest gossip from a peer: the rounds until all peers got
-/// a message, and the transit time.
-pub fn expected_gossip_age(peers: u32) -> Duration {
-    let rounds = (peers as usize).div_ceil(MAX_FANOUT).max(1);
-    send_interval(peers) * rounds as u32 + MESSAGE_TRANSIT_TIME
+impl Recipient {
+    fn direct(address: SocketAddr) -> Self {
+        Self {
+            address,
+            forwards: false,
+        }
+    }
 }
 
-/// Shortest interval between two rounds with `peers` recipients.
-pub fn send_interval(peers: u32) -> Duration {
-    let recipients = (peers as usize).min(MAX_FANOUT) as u32;
-    (MIN_SEND_INTERVAL_PER_PEER * recipients).min(MAX_SEND_INTERVAL)
+/// Expected age of what is known of a placement when the next one is made: peers that
+/// a message with changes does not reach learn of it from a complete state.
+pub fn expected_gossip_age(peers: u32) -> Duration {
+    let peers = peers as usize;
+    let rounds = peers.div_ceil(MAX_FANOUT) as u32;
+    let unreached_share = 1.0 - MAX_CHANGE_FANOUT as f64 / peers.max(MAX_CHANGE_FANOUT) as f64;
+    let unreached_age = (dissemination::COMPLETE_STATE_INTERVAL * rounds).mul_f64(unreached_share);
+    dissemination::PLACEMENT_DELAY + MESSAGE_TRANSIT_TIME + unreached_age
 }
--- a/crates/core/src/serving/queue.rs
+++ b/crates/core/src/serving/queue.rs
@@ -98,9 +98,22 @@
         self.entries.remove(&id);
     }
 
-    /// Replaces the queued prompts of a peer by its latest report.
-    pub fn update_peer(&mut self, peer: InstanceId, prompts: Vec<QueuedPrompt>, now: Instant) {
-        self.peers.insert(peer, (prompts, now));
+    /// Replaces the queued prompts of a peer by its latest report. Returns whether a
+    /// prompt of the peer has left the queue, so that another one may be next.
+    pub fn update_peer(
+        &mut self,
+        peer: InstanceId,
+        prompts: Vec<QueuedPrompt>,
+        now: Instant,
+    ) -> bool {
+        let count = prompts.len();
+        let previous = self.peers.insert(peer, (prompts, now));
+        previous.is_some_and(|(prompts, _)| prompts.len() > count)
+    }
+
+    /// Whether no prompt is queued at this instance.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
     }
 
     /// Prompts queued at this instance, to be sent to the peers.
--- a/crates/core/src/serving/targets.rs
+++ b/crates/core/src/serving/targets.rs
@@ -1,7 +1,7 @@
 //! Targets of all services: address, health, and load from all instances.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
@@ -152,9 +152,35 @@
     last_received_at: Option<Instant>,
 }
 
+/// Loads that a peer reports for its own requests.
+#[derive(Clone, Debug)]
+pub struct LoadReport {
+    /// Number of the report; later reports of a process have higher ones.
+    pub sequence: u64,
+    /// Whether targets that are not in `loads` have no load. Otherwise they have the
+    /// load of an earlier report.
+    pub is_complete: bool,
+    /// Loads by target; one without requests says that the target's last one ended.
+    pub loads: HashMap<EngineId, Load>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ReportedLoad {
+    load: Load,
+    /// Number of the report with this load.
+    sequence: u64,
+    reported_at: Instant,
+}
+
+/// Loads of a peer, merged from reports that may arrive in any order.
 #[derive(Clone, Debug, Default)]
 struct PeerLoads {
-    loads: HashMap<EngineId, Load>,
+    /// Has an entry for each target with load, and for those that lost it since the
+    /// latest complete report.
+    loads: HashMap<EngineId, ReportedLoad>,
+    /// Number of the latest complete report. No entry is older.
+    complete_sequence: u64,
+    /// Time of the peer's latest message.
     received_at: Instant,
 }
 
@@ -164,6 +190,8 @@
     targets: BTreeMap<EngineId, Target>,
     in_flight: BTreeMap<InFlightId, InFlightRequest>,
     last_id: u64,
+    /// Targets on which this instance's load changed since the changes were last taken.
+    changed: BTreeSet<EngineId>,
     peers: HashMap<InstanceId, PeerLoads>,
     /// Moving average of the durations of served requests.
     mean_durations: HashMap<ServiceId, Duration>,
@@ -236,6 +264,7 @@
             now + backlog + part.prefill_time
         });
         let prefilled_at = prefilled_at.collect();
+        self.mark_changed(&parts);
         self.last_id += 1;
         let id = InFlightId(self.last_id);
         let request = InFlightRequest {
@@ -253,6 +282,8 @@
     pub fn record_first_event(&mut self, id: InFlightId) {
         if let Some(request) = self.in_flight.get_mut(&id) {
             request.has_first_event = true;
+            let changed = request.parts.iter().map(|part| part.target.clone());
+            self.changed.extend(changed);
         }
     }
 
@@ -283,6 +314,7 @@
         now: Instant,
     ) -> Option<Duration> {
         let request = self.in_flight.remove(&id)?;
+        self.mark_changed(&request.parts);
         let target = request.parts[0].target.clone();
         if outcome == Outcome::Served {
             self.record_duration(&target, now - request.sent_at);
@@ -290,6 +322,11 @@
         self.record_outcome(&target, outcome, now)
     }
 
+    fn mark_changed(&mut self, parts: &[Part]) {
+        let changed = parts.iter().map(|part| part.target.clone());
+        self.changed.extend(changed);
+    }
+
     /// Expected time until a slot of a fully occupied target becomes free; none
     /// before the first served request of the service.
     pub fn expected_slot_wait(&self, service: &ServiceId) -> Option<Duration> {
@@ -375,15 +412,47 @@
         last_received_at.is_some_and(|at| at > since)
     }
 
-    /// Replaces the loads that a peer reports for its own requests.
-    pub fn set_peer_loads(
-        &mut self,
-        peer: InstanceId,
-        loads: HashMap<EngineId, Load>,
-        now: Instant,
-    ) {
-        let received_at = now;
-        self.peers.insert(peer, PeerLoads { loads, received_at });
+    /// Merges a peer's report with its earlier ones. The reports may arrive in any
+    /// order.
+    pub fn merge_peer_loads(&mut self, peer: &InstanceId, report: &LoadReport, now: Instant) {
+        let known = self.peers.entry(peer.clone()).or_default();
+        known.received_at = now;
+        let sequence = report.sequence;
+        if sequence < known.complete_sequence {
+            return;
+        }
+        for (id, load) in &report.loads {
+            let newest = known.loads.get(id).map_or(0, |known| known.sequence);
+            if newest <= sequence {
+                let reported = ReportedLoad {
+                    load: *load,
+                    sequence,
+                    reported_at: now,
+                };
+                known.loads.insert(id.clone(), reported);
+            }
+        }
+        if report.is_complete {
+            known.loads.retain(|_, load| load.sequence >= sequence);
+            known.complete_sequence = sequence;
+        }
+    }
+
+    /// Drops the loads of a peer whose process was replaced.
+    pub fn forget_peer(&mut self, peer: &InstanceId) {
+        self.peers.remove(peer);
+    }
+
+    /// Takes this instance's loads on the targets where they changed since the last
+    /// call; without requests where the last one ended.
+    pub fn take_changed_loads(&mut self, now: Instant) -> BTreeMap<EngineId, Load> {
+        let changed = std::mem::take(&mut self.changed);
+        let mut loads = self.own_loads(now);
+        let changed = changed.into_iter().map(|id| {
+            let load = loads.remove(&id).unwrap_or_default();
+            (id, load)
+        });
+        changed.collect()
     }
 
     /// Load by target of this instance's own requests.
@@ -523,12 +592,12 @@
 }
 
 impl PeerLoads {
-    /// Estimates the present load from a reported one; none if the report is
-    /// older than [`PEER_LOAD_TTL`].
-    fn estimate(&self, load: &Load, now: Instant) -> Option<Load> {
-        let age = now - self.received_at;
-        let backlog = load.backlog.saturating_sub(age);
-        (age <= PEER_LOAD_TTL).then_some(Load { backlog, ..*load })
+    /// Estimates the present load from a reported one; none if the peer has not
+    /// sent a message for [`PEER_LOAD_TTL`].
+    fn estimate(&self, reported: &ReportedLoad, now: Instant) -> Option<Load> {
+        let load = reported.load;
+        let backlog = load.backlog.saturating_sub(now - reported.reported_at);
+        (now - self.received_at <= PEER_LOAD_TTL).then_some(Load { backlog, ..load })
     }
 }
 
--- a/crates/core/tests/serving/loads.rs
+++ b/crates/core/tests/serving/loads.rs
@@ -14,7 +14,7 @@
         placement::{Placement, PlacementRequest, choose},
         queue::{self, EntryId, Queue},
         rate::Rate,
-        targets::{InFlightId, Outcome, Targets},
+        targets::{InFlightId, LoadReport, Outcome, Targets},
     },
 };
 
@@ -260,7 +260,12 @@
                 if to != from {
                     let sender = InstanceId::new(format!("i{from}"));
                     let loads = loads.iter().map(|(id, load)| (id.clone(), *load));
-                    targets.set_peer_loads(sender.clone(), loads.collect(), now);
+                    let report = LoadReport {
+                        sequence: now_ms + 1,
+                        is_complete: true,
+                        loads: loads.collect(),
+                    };
+                    targets.merge_peer_loads(&sender, &report, now);
                     queue.update_peer(sender, prompts.clone(), now);
                 }
             }
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -2,6 +2,7 @@
 //! network. Each load pattern that the users describe is a test.
 
 mod crashes;
+mod dissemination;
 mod fleet;
 mod loads;
 mod peers;
--- a/crates/core/tests/serving/targets.rs
+++ b/crates/core/tests/serving/targets.rs
@@ -3,8 +3,8 @@
 use std::{collections::HashMap, time::Duration};
 
 use cyclamengauge_core::{
-    ids::{InstanceId, ServiceId},
-    serving::targets::{Load, Outcome, Part, StreamTraits, TargetFacts, Targets},
+    ids::{EngineId, InstanceId, ServiceId},
+    serving::targets::{Load, LoadReport, Outcome, Part, StreamTraits, TargetFacts, Targets},
     units::Tokens,
 };
 
@@ -24,6 +24,33 @@
     }
 }
 
+/// Merges a peer's report with the given number.
+fn report(
+    targets: &mut Targets,
+    peer: &str,
+    sequence: u64,
+    is_complete: bool,
+    loads: HashMap<EngineId, Load>,
+    at_ms: u64,
+) {
+    let report = LoadReport {
+        sequence,
+        is_complete,
+        loads,
+    };
+    targets.merge_peer_loads(&InstanceId::new(peer), &report, ms(at_ms));
+}
+
+/// Loads with a number of requests for each target.
+fn requests(loads: &[(usize, u32)]) -> HashMap<EngineId, Load> {
+    let load = |requests| Load {
+        requests,
+        ..Load::default()
+    };
+    let loads = loads.iter().map(|(n, requests)| (id(*n), load(*requests)));
+    loads.collect()
+}
+
 const TRAITS: StreamTraits = StreamTraits {
     gap: Duration::from_millis(200),
     value: 1.0,
@@ -152,7 +179,7 @@
         ..Load::default()
     };
     let loads = HashMap::from([(id(4), load)]);
-    targets.set_peer_loads(InstanceId::new("peer"), loads, ms(0));
+    report(&mut targets, "peer", 1, true, loads, 0);
     assert_eq!(targets.load(&id(4), ms(100)).requests, 3);
     assert_eq!(
         targets.load(&id(4), ms(100)).backlog,
@@ -206,7 +233,7 @@
             ..Load::default()
         };
         let loads = HashMap::from([(id(2), load), (id(3), load)]);
-        targets.set_peer_loads(InstanceId::new(peer), loads, ms(received_ms));
+        report(&mut targets, peer, 1, true, loads, received_ms);
     }
     for now in [ms(20), ms(1_020), ms(2_500), ms(9_000)] {
         let all = targets.loads(now);
@@ -220,3 +247,57 @@
         }
     }
 }
+
+#[test]
+fn reported_changes_are_merged_with_the_other_loads_of_a_peer() {
+    let mut targets = targets();
+    report(&mut targets, "a", 1, true, requests(&[(1, 2), (2, 3)]), 0);
+    report(&mut targets, "a", 2, false, requests(&[(2, 0), (3, 1)]), 5);
+    let counts = |targets: &Targets| [1, 2, 3].map(|n| targets.load(&id(n), ms(10)).requests);
+    assert_eq!(counts(&targets), [2, 0, 1]);
+    report(&mut targets, "a", 3, true, requests(&[(3, 4)]), 10);
+    assert_eq!(counts(&targets), [0, 0, 4]);
+    targets.forget_peer(&InstanceId::new("a"));
+    assert_eq!(counts(&targets), [0, 0, 0]);
+}
+
+/// Pattern: a forwarded report is overtaken by later ones.
+#[test]
+fn reports_in_any_order_give_the_same_loads() {
+    let reports = [
+        (1, true, requests(&[(1, 1), (2, 1)])),
+        (2, false, requests(&[(1, 2), (3, 1)])),
+        (3, false, requests(&[(2, 0)])),
+        (4, true, requests(&[(1, 2), (4, 1)])),
+        (5, false, requests(&[(4, 0), (3, 2)])),
+    ];
+    for seed in 0..200 {
+        let mut order: Vec<usize> = (0..reports.len()).collect();
+        fastrand::Rng::with_seed(seed).shuffle(&mut order);
+        let mut targets = targets();
+        for index in &order {
+            let (sequence, is_complete, loads) = reports[*index].clone();
+            report(&mut targets, "a", sequence, is_complete, loads, 0);
+        }
+        let counts = [1, 2, 3, 4].map(|n| targets.load(&id(n), ms(1)).requests);
+        assert_eq!(counts, [2, 0, 2, 0], "reports in the order {order:?}");
+    }
+}
+
+#[test]
+fn changed_loads_are_taken_once() {
+    let mut targets = targets();
+    let first = targets.begin(vec![part(1, 20), part(2, 20)], Some(TRAITS), ms(0));
+    targets.begin(vec![part(2, 20)], Some(TRAITS), ms(0));
+    let taken = |targets: &mut Targets| {
+        let loads = targets.take_changed_loads(ms(1));
+        let loads = loads.into_iter().map(|(id, load)| (id, load.requests));
+        loads.collect::<Vec<_>>()
+    };
+    assert_eq!(taken(&mut targets), [(id(1), 1), (id(2), 2)]);
+    assert_eq!(taken(&mut targets), []);
+    targets.record_first_event(first);
+    assert_eq!(taken(&mut targets), [(id(1), 1), (id(2), 1)]);
+    targets.record_end(first, Outcome::Served, ms(1));
+    assert_eq!(taken(&mut targets), [(id(1), 0), (id(2), 1)]);
+}
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -91,7 +91,7 @@
             .queue
             .borrow_mut()
             .enqueue(objective_at, prefill_time);
-        gateway.load_changed.notify_waiters();
+        gateway.report_placement();
         Self {
             gateway: Rc::clone(gateway),
             id,
@@ -116,7 +116,7 @@
 impl Drop for QueueEntry {
     fn drop(&mut self) {
         self.gateway.queue.borrow_mut().remove(self.id);
-        self.gateway.load_changed.notify_waiters();
+        self.gateway.report_placement();
     }
 }
 
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -138,7 +138,7 @@
         let parts = placement.parts.clone();
         let stream = placement.stream;
         let id = gateway.targets.borrow_mut().begin(parts, stream, now);
-        gateway.load_changed.notify_waiters();
+        gateway.report_placement();
         Self {
             gateway: Rc::clone(gateway),
             id,
@@ -154,7 +154,7 @@
             .targets
             .borrow_mut()
             .record_first_event(self.id);
-        self.gateway.load_changed.notify_waiters();
+        self.gateway.report_progress();
     }
 
     /// Records that bytes arrived from the target.
@@ -179,7 +179,7 @@
         let exclusion = targets.record_end(self.id, self.outcome, now);
         drop(targets);
         log_exclusion(&self.target, self.outcome, exclusion);
-        self.gateway.load_changed.notify_waiters();
+        self.gateway.report_progress();
     }
 }
 
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -6,7 +6,11 @@
     clock::Instant,
     ids::EngineId,
     request::Fingerprint,
-    serving::{queue::QueuedPrompt, targets::Load},
+    serving::{
+        dissemination::DueMessage,
+        queue::QueuedPrompt,
+        targets::{Load, LoadReport},
+    },
     text::SmolStr,
     units::Tokens,
 };
@@ -18,11 +22,20 @@
 const MAX_REPORTED_CRASH_AGE: Duration = Duration::from_secs(60);
 
 /// Builds a gossip message with this instance's loads, queued long prompts,
-/// leaving targets, recent crashes and versions.
-pub(super) fn build_message(gateway: &Gateway, sequence: u64, now: Instant) -> v1::Gossip {
+/// leaving targets, recent crashes and versions. A message with changes has only the
+/// loads that changed since the last one.
+pub(super) fn build_message(
+    gateway: &Gateway,
+    message: DueMessage,
+    sequence: u64,
+    now: Instant,
+) -> v1::Gossip {
     let settings = gateway.settings.borrow();
+    let loads = match message {
+        DueMessage::Changes => gateway.targets.borrow_mut().take_changed_loads(now),
+        DueMessage::CompleteState => gateway.targets.borrow().own_loads(now),
+    };
     let targets = gateway.targets.borrow();
-    let loads = targets.own_loads(now);
     let loads = loads.iter().map(|(id, load)| {
         let last_received_at = targets.get(id).and_then(|target| target.last_received_at());
         encode_load(id, load, last_received_at.map(|at| now - at))
@@ -42,6 +55,9 @@
         waiting: queued_prompts.iter().map(encode_queued_prompt).collect(),
         leaving: leaving.iter().map(encode_leaving).collect(),
         list_version: gateway.list_version.get().0,
+        changes_only: message == DueMessage::Changes,
+        data_centre: settings.data_centre.to_string(),
+        forward: false,
     }
 }
 
@@ -60,8 +76,17 @@
     }
 }
 
+/// Decodes the loads in a peer's message.
+pub(super) fn decode_load_report(gossip: &v1::Gossip) -> LoadReport {
+    LoadReport {
+        sequence: gossip.sequence,
+        is_complete: !gossip.changes_only,
+        loads: gossip.loads.iter().map(decode_load).collect(),
+    }
+}
+
 /// Decodes a peer's load on a target.
-pub(super) fn decode_load(load: &v1::TargetLoad) -> (EngineId, Load) {
+fn decode_load(load: &v1::TargetLoad) -> (EngineId, Load) {
     let gap = Duration::from_millis(u64::from(load.strictest_gap_ms));
     let decoded = Load {
         requests: load.requests,
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -1,8 +1,9 @@
 //! Gossip between instances: loads, queued prompts, crashes and versions.
 //!
-//! A message is one datagram, sent to the peers soon after a load changes. It holds
-//! the whole state of its sender, so the next message makes up for a lost one. If a
-//! peer reports a newer configuration, this instance fetches the configuration from
+//! A message is one datagram. Changes are sent to all live peers soon after they occur.
+//! The complete state of the sender follows at an interval and makes up for lost
+//! messages. A message to a data centre with several instances crosses the link to it
+//! once: one of these instances forwards it to the others. If a peer reports a newer configuration, this instance fetches the configuration from
 //! the peer, in case its own calls to the store fail.
 
 mod fetch;
@@ -14,9 +15,12 @@
 use anyhow::Context;
 use cyclamengauge_core::{
     clock::Instant,
-    ids::{EngineId, InstanceId},
+    ids::{DataCentreId, EngineId, InstanceId},
     request::Fingerprint,
-    serving::peers::{self, MessageNumber},
+    serving::{
+        dissemination::DueMessage,
+        peers::{MessageNumber, Reception, Recipient, Sender},
+    },
     text::SmolStr,
 };
 use cyclamengauge_schema::v1;
@@ -49,26 +53,77 @@
     let mut sequence = 0;
     let mut alive = 0;
     loop {
-        let changed = gateway.load_changed.notified();
-        let now = gateway.clock.now();
-        let previously_alive =
-            std::mem::replace(&mut alive, gateway.peers.borrow().alive_count(now));
-        if alive != previously_alive {
-            process_events::log_peers(alive, previously_alive);
+        let due_at = gateway.gossip_schedule.borrow().due_at();
+        let until_due = gateway.clock.until(due_at);
+        if !until_due.is_zero() {
+            let rescheduled = gateway.gossip_scheduled.notified();
+            let _ = actix_rt::time::timeout(until_due, rescheduled).await;
         }
-        let addresses = gateway.peers.borrow_mut().start_round(now);
-        sequence += 1;
-        let datagram = messages::build_message(&gateway, sequence, now).encode_to_vec();
-        for address in &addresses {
-            // The next message makes up for a lost one.
-            if let Err(err) = socket.send_to(&datagram, address).await {
-                tracing::debug!(%address, "peers: send gossip to {address}: {err}");
+        let now = gateway.clock.now();
+        let has_queued_prompts = !gateway.queue.borrow().is_empty();
+        let mut schedule = gateway.gossip_schedule.borrow_mut();
+        let due = schedule.take_due(has_queued_prompts, now);
+        drop(schedule);
+        let Some(message) = due else { continue };
+        let recipients = match message {
+            DueMessage::Changes => change_recipients(&gateway, now),
+            DueMessage::CompleteState => {
+                let previously_alive =
+                    std::mem::replace(&mut alive, gateway.peers.borrow().alive_count(now));
+                if alive != previously_alive {
+                    process_events::log_peers(alive, previously_alive);
+                }
+                gateway.targets.borrow_mut().remove_expired(now);
+                start_round(&gateway, now)
             }
+        };
+        sequence += 1;
+        let mut gossip = messages::build_message(&gateway, message, sequence, now);
+        let datagram = gossip.encode_to_vec();
+        gossip.forward = true;
+        let forwarded_datagram = gossip.encode_to_vec();
+        for recipient in &recipients {
+            let datagram = match recipient.forwards {
+                true => &forwarded_datagram,
+                false => &datagram,
+            };
+            send_datagram(&socket, datagram, recipient.address).await;
         }
-        gateway.targets.borrow_mut().remove_expired(now);
-        let min_interval = peers::send_interval(addresses.len() as u32);
-        actix_rt::time::sleep(min_interval).await;
-        let _ = actix_rt::time::timeout(peers::MAX_SEND_INTERVAL - min_interval, changed).await;
+    }
+}
+
+fn change_recipients(gateway: &Gateway, now: Instant) -> Vec<Recipient> {
+    let settings = gateway.settings.borrow();
+    let mut rng = gateway.rng.borrow_mut();
+    let peers = gateway.peers.borrow();
+    peers.change_recipients(&settings.data_centre, &mut rng, now)
+}
+
+fn start_round(gateway: &Gateway, now: Instant) -> Vec<Recipient> {
+    let settings = gateway.settings.borrow();
+    let mut rng = gateway.rng.borrow_mut();
+    let mut peers = gateway.peers.borrow_mut();
+    peers.start_round(&settings.data_centre, &mut rng, now)
+}
+
+/// Sends a datagram. A later complete state makes up for one that can't be sent.
+async fn send_datagram(socket: &UdpSocket, datagram: &[u8], address: SocketAddr) {
+    if let Err(err) = socket.send_to(datagram, address).await {
+        tracing::debug!(%address, "peers: send gossip to {address}: {err}");
+    }
+}
+
+/// Forwards a message to the other instances in this data centre.
+async fn forward_message(gateway: &Gateway, socket: &UdpSocket, mut gossip: v1::Gossip) {
+    let recipients = {
+        let data_centre = &gateway.settings.borrow().data_centre;
+        let peers = gateway.peers.borrow();
+        peers.forward_recipients(data_centre, gateway.clock.now())
+    };
+    gossip.forward = false;
+    let datagram = gossip.encode_to_vec();
+    for address in recipients {
+        send_datagram(socket, &datagram, address).await;
     }
 }
 
@@ -85,7 +140,12 @@
             }
         };
         match v1::Gossip::decode(&buffer[..length]) {
-            Ok(gossip) => apply_message(&gateway, gossip),
+            Ok(gossip) => {
+                apply_message(&gateway, &gossip);
+                if gossip.forward {
+                    forward_message(&gateway, &socket, gossip).await;
+                }
+            }
             Err(err) => {
                 let err = anyhow::Error::new(err).context("decode gossip message");
                 process_events::log_peer_faulty(&from.to_string(), &err);
@@ -96,7 +156,7 @@
 
 /// Applies a peer's gossip message. Messages of this instance itself and outdated
 /// messages are ignored.
-fn apply_message(gateway: &Rc<Gateway>, gossip: v1::Gossip) {
+fn apply_message(gateway: &Rc<Gateway>, gossip: &v1::Gossip) {
     let Ok(address) = gossip.peer_address.parse::<SocketAddr>() else {
         let err = anyhow::anyhow!("peer address `{}` is invalid", gossip.peer_address);
         process_events::log_peer_faulty(&gossip.instance, &err);
@@ -111,22 +171,38 @@
         incarnation: gossip.incarnation,
         sequence: gossip.sequence,
     };
+    let sender = Sender {
+        instance: &instance,
+        address,
+        data_centre: &DataCentreId::new(&gossip.data_centre),
+    };
     let mut peers = gateway.peers.borrow_mut();
-    if !peers.accept_message(&instance, address, message_number, now) {
+    let reception = peers.accept_message(sender, message_number, now);
+    drop(peers);
+    if reception == Reception::Outdated {
+        return;
+    }
+    let mut targets = gateway.targets.borrow_mut();
+    if reception == Reception::NewProcess {
+        targets.forget_peer(&instance);
+    }
+    targets.merge_peer_loads(&instance, &messages::decode_load_report(gossip), now);
+    drop(targets);
+    if reception == Reception::Late {
         return;
     }
-    drop(peers);
     let queued_prompts = gossip
         .waiting
         .iter()
         .map(messages::decode_queued_prompt)
         .collect();
     let mut queue = gateway.queue.borrow_mut();
-    queue.update_peer(instance.clone(), queued_prompts, now);
+    let has_prompt_left = queue.update_peer(instance.clone(), queued_prompts, now);
     drop(queue);
-    let loads = gossip.loads.iter().map(messages::decode_load).collect();
+    if has_prompt_left {
+        gateway.load_changed.notify_waiters();
+    }
     let mut targets = gateway.targets.borrow_mut();
-    targets.set_peer_loads(instance, loads, now);
     for load in &gossip.loads {
         if let Some(age_ms) = load.heard_ms {
             let age = Duration::from_millis(u64::from(age_ms));
@@ -141,7 +217,7 @@
     for content in &gossip.crashes {
         record_crashes(gateway, content, now);
     }
-    fetch::schedule_fetch(gateway, address, fetch::PeerVersions::of(&gossip));
+    fetch::schedule_fetch(gateway, address, fetch::PeerVersions::of(gossip));
 }
 
 fn record_crashes(gateway: &Gateway, content: &v1::ContentCrashes, now: Instant) {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -37,6 +37,7 @@
     ids::ServiceId,
     serving::{
         crashes::Crashes,
+        dissemination::Schedule,
         peers::{self, Peers},
         queue::Queue,
         rate,
@@ -104,9 +105,13 @@
     last_store_success_at: Cell<Option<Instant>>,
     /// Latest successful store call of the target list's watch.
     last_target_list_success_at: Cell<Option<Instant>>,
-    /// Notified when a load or the configuration changes: wakes the gossip sender
-    /// and the requests in the long-prompt queue.
+    /// Notified when a load, the queue or the configuration changes: wakes the requests
+    /// in the long-prompt queue.
     load_changed: Notify,
+    /// Times of the next gossip messages.
+    gossip_schedule: RefCell<Schedule>,
+    /// Wakes the gossip sender after a change of its schedule.
+    gossip_scheduled: Notify,
     /// Time at which SIGTERM was received; none before.
     shutdown_started_at: Cell<Option<Instant>>,
     /// Client connections.
@@ -151,6 +156,8 @@
             last_store_success_at: Cell::new(None),
             last_target_list_success_at: Cell::new(None),
             load_changed: Notify::new(),
+            gossip_schedule: RefCell::default(),
+            gossip_scheduled: Notify::new(),
             shutdown_started_at: Cell::new(None),
             connections: Connections::default(),
             requests_in_progress: Cell::new(0),
@@ -193,7 +200,7 @@
         }
         *self.route_table.borrow_mut() = Some(Rc::new(RouteTable::new(decoded)));
         *self.stored_configuration.borrow_mut() = stored;
-        self.load_changed.notify_waiters();
+        self.report_progress();
         self.configuration_applied_at.set(self.clock.now());
         process_events::log_configuration(version, current_version, source);
     }
@@ -220,6 +227,23 @@
         retry_budget.record_request(&request.service, now);
     }
 
+    /// Reports a placement or a change of the long-prompt queue to the peers at once.
+    fn report_placement(&self) {
+        let now = self.clock.now();
+        self.gossip_schedule.borrow_mut().record_placement(now);
+        self.gossip_scheduled.notify_one();
+        self.load_changed.notify_waiters();
+    }
+
+    /// Reports a first event, the end of a request or a new configuration to the peers
+    /// soon.
+    fn report_progress(&self) {
+        let now = self.clock.now();
+        self.gossip_schedule.borrow_mut().record_progress(now);
+        self.gossip_scheduled.notify_one();
+        self.load_changed.notify_waiters();
+    }
+
     /// Expected number of streams that peers have placed since their last gossip
     /// message, if each peer receives streams at the rate of this instance.
     fn unreported_streams(&self) -> f64 {
