--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -61,9 +61,10 @@
         }
         let now = gateway.clock.now();
         let has_queued_prompts = !gateway.queue.borrow().is_empty();
-        let mut schedule = gateway.gossip_schedule.borrow_mut();
-        let due = schedule.take_due(has_queued_prompts, now);
-        drop(schedule);
+        let due = gateway
+            .gossip_schedule
+            .borrow_mut()
+            .take_due(has_queued_prompts, now);
         let Some(message) = due else { continue };
         let recipients = match message {
             DueMessage::Changes => change_recipients(&gateway, now),
