Let two instances of each zone watch the platform's tables for the others

Cause: every instance watched the configuration and the target list.

Change: each instance picks two watchers a zone by a hash of the live instances whose calls succeed, and reports whether it watches. The others fetch a newer configuration and the changes of the target list from a peer; an instance that hears of fewer than two watchers watches the tables itself, so deployments of up to two instances a zone work as before. A peer counts as a watcher once a call of it has succeeded.

--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -10,4 +10,6 @@
 mod queue;
 mod retry_budget;
 mod routes;
+mod target_list;
 mod targets;
+mod watchers;
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -10,13 +10,14 @@
         dissemination::DueMessage,
         queue::QueuedPrompt,
         targets::{Load, LoadReport},
+        watchers::WatchState,
     },
     text::SmolStr,
     units::Tokens,
 };
 use cyclamengauge_schema::v1;
 
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, watch};
 
 /// Maximum age of the latest crash of a content in gossip messages.
 const MAX_REPORTED_CRASH_AGE: Duration = Duration::from_secs(60);
@@ -54,10 +55,15 @@
         crashes: crashes.into_iter().map(encode_crashes).collect(),
         waiting: queued_prompts.iter().map(encode_queued_prompt).collect(),
         leaving: leaving.iter().map(encode_leaving).collect(),
-        list_version: gateway.list_version.get().0,
+        list_version: gateway.target_list.borrow().version().0,
         changes_only: message == DueMessage::Changes,
         data_centre: settings.data_centre.to_string(),
         forward: false,
+        watch_state: encode_watch_state(watch::watch_state(gateway)).into(),
+        store_success_age_ms: gateway
+            .last_store_success_at
+            .get()
+            .map(|at| (now - at).as_millis() as u32),
     }
 }
 
@@ -99,6 +105,24 @@
     (EngineId::new(&load.target), decoded)
 }
 
+fn encode_watch_state(state: WatchState) -> v1::WatchState {
+    match state {
+        WatchState::Watching => v1::WatchState::Watching,
+        WatchState::Fetching => v1::WatchState::Fetching,
+        WatchState::Failing => v1::WatchState::Failing,
+    }
+}
+
+/// Decodes a peer's watch state. One that is missing or unknown counts as failing, so
+/// that no instance relies on the peer.
+pub(super) fn decode_watch_state(gossip: &v1::Gossip) -> WatchState {
+    match gossip.watch_state() {
+        v1::WatchState::Watching => WatchState::Watching,
+        v1::WatchState::Fetching => WatchState::Fetching,
+        v1::WatchState::Failing | v1::WatchState::Unspecified => WatchState::Failing,
+    }
+}
+
 /// Encodes a leaving target and the remaining time of its exclusion.
 fn encode_leaving((id, remaining): &(EngineId, Duration)) -> v1::LeavingTarget {
     v1::LeavingTarget {
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -3,8 +3,9 @@
 //! A message is one datagram. Changes are sent to all live peers soon after they occur.
 //! The complete state of the sender follows at an interval and makes up for lost
 //! messages. A message to a data centre with several instances crosses the link to it
-//! once: one of these instances forwards it to the others. If a peer reports a newer configuration, this instance fetches the configuration from
-//! the peer, in case its own calls to the store fail.
+//! once: one of these instances forwards it to the others. If a
+//! peer reports a newer configuration or target list, this instance fetches it from the
+//! peer, unless it watches the platform's tables itself.
 
 mod fetch;
 mod messages;
@@ -20,6 +21,8 @@
     serving::{
         dissemination::DueMessage,
         peers::{MessageNumber, Reception, Recipient, Sender},
+        target_list::ListVersion,
+        watchers::WatchState,
     },
     text::SmolStr,
 };
@@ -28,7 +31,7 @@
 
 use crate::{gateway::Gateway, telemetry::process_events};
 
-pub use fetch::handle_fetch;
+pub use fetch::{FetchesInProgress, handle_fetch};
 
 /// Largest datagram that is received without truncation.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
@@ -218,7 +221,45 @@
     for content in &gossip.crashes {
         record_crashes(gateway, content, now);
     }
-    fetch::schedule_fetch(gateway, address, fetch::PeerVersions::of(gossip));
+    let watch_state = record_watch_state(gateway, &instance, gossip, now);
+    let peer = fetch::Peer {
+        address,
+        is_local: gossip.data_centre == gateway.settings.borrow().data_centre.as_str(),
+        watch_state,
+        configuration_version: gossip.configuration_version,
+        list_version: ListVersion(gossip.list_version),
+    };
+    fetch::schedule_fetch(gateway, peer);
+}
+
+/// Records whether a peer watches the tables. What it reads from the store also
+/// confirms the state of an instance that does not watch them.
+fn record_watch_state(
+    gateway: &Gateway,
+    instance: &InstanceId,
+    gossip: &v1::Gossip,
+    now: Instant,
+) -> WatchState {
+    let state = messages::decode_watch_state(gossip);
+    let data_centre = DataCentreId::new(&gossip.data_centre);
+    let mut watchers = gateway.watchers.borrow_mut();
+    watchers.record(instance.clone(), data_centre, state, now);
+    let is_up_to_date = gossip.configuration_version <= gateway.configuration_version()
+        && gossip.list_version <= gateway.target_list.borrow().version().0;
+    if let Some(age_ms) = gossip.store_success_age_ms
+        && state == WatchState::Watching
+        && is_up_to_date
+    {
+        let age = Duration::from_millis(u64::from(age_ms));
+        let at = Instant::from_start(now.since_start().saturating_sub(age));
+        for last in [
+            &gateway.last_store_success_at,
+            &gateway.last_target_list_success_at,
+        ] {
+            last.set(last.get().max(Some(at)));
+        }
+    }
+    state
 }
 
 fn record_crashes(gateway: &Gateway, content: &v1::ContentCrashes, now: Instant) {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 - [`requests`](handle): handling of a client request from arrival to response;
 - `exchange`: one attempt at one target;
 - `relay`: forwarding of an event stream, resumed on another engine if it breaks;
-- `watch`: the configuration and the target list, from the platform's store;
+- `watch`: the configuration and the target list, from the platform's store or from
+  peers that watch it;
 - `gossip`: exchange of loads, crashes and versions between instances;
 - `upstream`, `store`: outgoing connections and the store client.
 */
@@ -26,7 +27,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
     rc::Rc,
     time::Duration,
 };
@@ -43,10 +43,12 @@
         rate,
         retry_budget::{RetryBudget, RetryLimits},
         routes::RouteTable,
+        target_list::TargetList,
         targets::Targets,
+        watchers::Watchers,
     },
 };
-use cyclamengauge_platform::{configuration, settings, store::StoreVersion};
+use cyclamengauge_platform::{configuration, settings};
 use tokio::sync::Notify;
 
 pub use requests::handle;
@@ -62,6 +64,18 @@
 /// configurations, after which this instance may have missed a change.
 const STALE_CONFIGURATION_MARGIN: Duration = Duration::from_millis(2_500);
 
+/// State of this instance's watch of a table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum TableWatch {
+    /// Peers watch the table, or the watch has not begun.
+    #[default]
+    Paused,
+    /// The latest call succeeded.
+    Active,
+    /// The latest call failed.
+    Failing,
+}
+
 /// State of a gateway process.
 pub struct Gateway {
     /// Settings of this process.
@@ -76,12 +90,11 @@
     configuration_applied_at: Cell<Instant>,
     /// The configuration in force, encoded as in the store, for peers.
     stored_configuration: RefCell<Bytes>,
-    /// Entries of the target list by key, encoded as in the store, for peers.
-    stored_target_list: RefCell<BTreeMap<String, Vec<u8>>>,
-    /// Store version up to which the target list is complete.
-    list_version: Cell<StoreVersion>,
-    /// Whether the latest store call of the target list's watch failed.
-    target_list_watch_failing: Cell<bool>,
+    /// The target list as stored, for peers.
+    target_list: RefCell<TargetList>,
+    target_list_watch: Cell<TableWatch>,
+    /// Watch states of the peers.
+    watchers: RefCell<Watchers>,
     /// Targets with their health and load.
     pub targets: RefCell<Targets>,
     /// Whether the target list was read in full since the start.
@@ -94,16 +107,15 @@
     crashes: RefCell<Crashes>,
     rng: RefCell<fastrand::Rng>,
     peers: RefCell<Peers>,
-    /// Whether a fetch from a peer is scheduled or in progress; there is at most
-    /// one.
-    peer_fetch_in_progress: Cell<bool>,
-    /// Whether the latest store call of the configuration's watch failed.
-    configuration_watch_failing: Cell<bool>,
+    /// Fetches from peers that are scheduled or in progress.
+    peer_fetches: gossip::FetchesInProgress,
+    configuration_watch: Cell<TableWatch>,
     /// Latest failed store call of a watch.
     last_store_failure_at: Cell<Option<Instant>>,
-    /// Latest successful store call of a watch.
+    /// Latest successful store call of a watch, here or at a peer that watches the
+    /// tables for this instance.
     last_store_success_at: Cell<Option<Instant>>,
-    /// Latest successful store call of the target list's watch.
+    /// Latest successful store call of the target list's watch, here or at a peer.
     last_target_list_success_at: Cell<Option<Instant>>,
     /// Notified when a load, the queue or the configuration changes: wakes the requests
     /// in the long-prompt queue.
@@ -139,9 +151,9 @@
             route_table: RefCell::default(),
             configuration_applied_at: Cell::default(),
             stored_configuration: RefCell::default(),
-            stored_target_list: RefCell::default(),
-            list_version: Cell::default(),
-            target_list_watch_failing: Cell::new(false),
+            target_list: RefCell::default(),
+            target_list_watch: Cell::default(),
+            watchers: RefCell::default(),
             targets: RefCell::default(),
             target_list_loaded: Cell::new(false),
             stream_rate: Cell::default(),
@@ -150,8 +162,8 @@
             crashes: RefCell::default(),
             rng: RefCell::new(fastrand::Rng::with_seed(incarnation)),
             peers: RefCell::new(peers),
-            peer_fetch_in_progress: Cell::new(false),
-            configuration_watch_failing: Cell::new(false),
+            peer_fetches: gossip::FetchesInProgress::default(),
+            configuration_watch: Cell::default(),
             last_store_failure_at: Cell::new(None),
             last_store_success_at: Cell::new(None),
             last_target_list_success_at: Cell::new(None),
@@ -212,7 +224,7 @@
         let last_success_at = self.last_store_success_at.get();
         let bounds = self.settings.borrow().bounds;
         let max_age = bounds.configuration_apply_limit + STALE_CONFIGURATION_MARGIN;
-        self.configuration_watch_failing.get()
+        self.configuration_watch.get() == TableWatch::Failing
             || last_success_at.is_none_or(|at| now - at > max_age)
     }
 
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -4,11 +4,17 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use cyclamengauge_core::ids::EngineId;
+use cyclamengauge_core::{
+    ids::EngineId,
+    serving::{
+        target_list::{ListChanges, ListVersion},
+        watchers::WatchState,
+    },
+};
 use cyclamengauge_platform::{discovery, store};
 
 use crate::{
-    gateway::{Gateway, store::StoreClient},
+    gateway::{Gateway, TableWatch, store::StoreClient},
     telemetry::process_events,
 };
 
@@ -25,6 +31,9 @@
 /// response. It is far below the time for which a leaving target still serves.
 const TARGET_LIST_BATCH_DELAY: Duration = Duration::from_millis(250);
 
+/// Interval between two checks whether this instance must watch the tables.
+const TURN_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval between two checks whether the store responds again.
 const OUTAGE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -44,12 +53,12 @@
 /// Value of the log field `source` for data from the store.
 const STORE_SOURCE: &str = "the store";
 
-/// Watches the configuration until the process ends.
+/// Reads and watches the configuration until the process ends.
 pub async fn watch_configuration(gateway: Rc<Gateway>) {
     watch_table(gateway, store::Table::Operators).await;
 }
 
-/// Watches the target list until the process ends.
+/// Reads and watches the target list until the process ends.
 pub async fn watch_targets(gateway: Rc<Gateway>) {
     watch_table(gateway, store::Table::Targets).await;
 }
@@ -108,7 +117,8 @@
     }
 }
 
-/// Reads a table in full, then its changes, without end. Failed calls are retried.
+/// Reads a table in full, then watches its changes while this instance is one of the
+/// watchers. Failed calls are retried.
 async fn watch_table(gateway: Rc<Gateway>, table: store::Table) {
     let mut client = StoreClient::new(gateway.settings.borrow().store_address);
     let mut retry_delay = MIN_RETRY_DELAY;
@@ -119,23 +129,33 @@
         if table == store::Table::Targets {
             wait_for_store(&gateway).await;
         }
-        match fetch_updates(&gateway, &mut client, table, since, &mut rows_read).await {
+        let mut feed_wait = feed_wait(&gateway);
+        if since.is_some() && wait_for_turn(&gateway, table).await {
+            // Peers rely on the watch once a call has succeeded.
+            feed_wait = Duration::ZERO;
+        }
+        let updates = fetch_updates(
+            &gateway,
+            &mut client,
+            table,
+            since,
+            feed_wait,
+            &mut rows_read,
+        )
+        .await;
+        match updates {
             Ok(version) => {
                 if let Some(at) = failing_since.take() {
                     process_events::log_store_back(&table, gateway.clock.now() - at);
                 }
                 since = version;
-                match table {
-                    store::Table::Targets => {
-                        gateway.target_list_watch_failing.set(false);
-                        gateway
-                            .last_target_list_success_at
-                            .set(Some(gateway.clock.now()));
-                    }
-                    _ => gateway.configuration_watch_failing.set(false),
-                }
+                set_state(&gateway, table, TableWatch::Active);
                 retry_delay = MIN_RETRY_DELAY;
-                gateway.last_store_success_at.set(Some(gateway.clock.now()));
+                let now = Some(gateway.clock.now());
+                gateway.last_store_success_at.set(now);
+                if table == store::Table::Targets {
+                    gateway.last_target_list_success_at.set(now);
+                }
             }
             Err(err) => {
                 if failing_since.is_none() {
@@ -143,21 +163,64 @@
                     process_events::log_store_lost(&table, &err);
                 }
                 gateway.last_store_failure_at.set(Some(gateway.clock.now()));
-                match table {
-                    store::Table::Targets => gateway.target_list_watch_failing.set(true),
-                    _ => gateway.configuration_watch_failing.set(true),
-                }
+                set_state(&gateway, table, TableWatch::Failing);
                 back_off(&gateway, &mut retry_delay).await;
             }
         }
     }
 }
 
+fn set_state(gateway: &Gateway, table: store::Table, state: TableWatch) {
+    let watch = match table {
+        store::Table::Targets => &gateway.target_list_watch,
+        store::Table::Operators | store::Table::Instances => &gateway.configuration_watch,
+    };
+    if watch.replace(state) != state {
+        gateway.report_progress();
+    }
+}
+
+/// Waits while peers watch the tables for this instance. Returns whether it has waited.
+async fn wait_for_turn(gateway: &Gateway, table: store::Table) -> bool {
+    let mut has_waited = false;
+    while !must_watch(gateway) {
+        if !std::mem::replace(&mut has_waited, true) {
+            set_state(gateway, table, TableWatch::Paused);
+        }
+        actix_rt::time::sleep(TURN_POLL_INTERVAL).await;
+    }
+    has_waited
+}
+
+fn must_watch(gateway: &Gateway) -> bool {
+    let settings = gateway.settings.borrow();
+    let watchers = gateway.watchers.borrow();
+    watchers.must_watch(
+        &settings.instance,
+        &settings.data_centre,
+        gateway.clock.now(),
+    )
+}
+
+/// Whether this instance watches the tables, as it reports it to its peers.
+pub fn watch_state(gateway: &Gateway) -> WatchState {
+    match (
+        gateway.configuration_watch.get(),
+        gateway.target_list_watch.get(),
+    ) {
+        (TableWatch::Failing, _) | (_, TableWatch::Failing) => WatchState::Failing,
+        (TableWatch::Active, TableWatch::Active) => WatchState::Watching,
+        (TableWatch::Paused, _) | (_, TableWatch::Paused) => WatchState::Fetching,
+    }
+}
+
 /// Waits while the configuration's watch fails: during an outage, calls from one
 /// task are enough. Does not wait before the target list is loaded, as the instance
 /// can't serve without it.
 async fn wait_for_store(gateway: &Gateway) {
-    while gateway.configuration_watch_failing.get() && gateway.target_list_loaded.get() {
+    while gateway.configuration_watch.get() == TableWatch::Failing
+        && gateway.target_list_loaded.get()
+    {
         actix_rt::time::sleep(OUTAGE_POLL_INTERVAL).await;
     }
 }
@@ -173,15 +236,16 @@
         .max(MIN_FEED_WAIT)
 }
 
-/// Waits for the changes of a table after `since`, or, without `since`, reads the
-/// table's next page. Returns the version up to which the table is now applied;
-/// `None` if there are more pages, or if the table must be read in full
+/// Waits up to `feed_wait` for the changes of a table after `since`, or, without
+/// `since`, reads the table's next page. Returns the version up to which the table is
+/// now applied; `None` if there are more pages, or if the table must be read in full
 /// again.
 async fn fetch_updates(
     gateway: &Gateway,
     client: &mut StoreClient,
     table: store::Table,
     since: Option<store::StoreVersion>,
+    feed_wait: Duration,
     rows_read: &mut Option<store::Rows>,
 ) -> anyhow::Result<Option<store::StoreVersion>> {
     let Some(since) = since else {
@@ -191,67 +255,83 @@
         let Some(rows) = rows_read.take() else {
             return Ok(None);
         };
-        match table {
-            store::Table::Targets => replace_target_list(gateway, &rows, STORE_SOURCE),
-            _ => apply_rows(gateway, table, &rows, STORE_SOURCE),
-        }
-        return Ok(Some(rows.version));
+        let version = rows.version;
+        apply_rows(gateway, table, rows, true);
+        return Ok(Some(version));
+    };
+    // Changes that a peer has passed on need not be read again.
+    let list_version = store::StoreVersion(gateway.target_list.borrow().version().0);
+    let since = match table {
+        store::Table::Targets => since.max(list_version),
+        store::Table::Operators | store::Table::Instances => since,
     };
     let changes = client
-        .wait_for_changes(table, since, feed_wait(gateway), FEED_RESPONSE_MARGIN)
+        .wait_for_changes(table, since, feed_wait, FEED_RESPONSE_MARGIN)
         .await?;
     let Some(rows) = changes else {
         process_events::log_store_history_gone(&table);
         return Ok(None);
     };
-    apply_rows(gateway, table, &rows, STORE_SOURCE);
-    if table == store::Table::Targets {
-        gateway.list_version.set(rows.version.max(since));
-        if !rows.rows.is_empty() {
-            actix_rt::time::sleep(TARGET_LIST_BATCH_DELAY).await;
-        }
+    let version = rows.version.max(since);
+    let has_changes = !rows.rows.is_empty();
+    if has_changes {
+        apply_rows(gateway, table, rows, false);
     }
-    Ok(Some(rows.version.max(since)))
-}
-
-/// Replaces the target list by a complete one from the store or a peer.
-pub fn replace_target_list(gateway: &Gateway, rows: &store::Rows, source: &str) {
-    remove_missing_targets(gateway, rows);
-    apply_rows(gateway, store::Table::Targets, rows, source);
-    gateway.list_version.set(rows.version);
-    gateway.target_list_loaded.set(true);
+    if table == store::Table::Targets && has_changes {
+        actix_rt::time::sleep(TARGET_LIST_BATCH_DELAY).await;
+    }
+    Ok(Some(version))
 }
 
-fn apply_rows(gateway: &Gateway, table: store::Table, rows: &store::Rows, source: &str) {
-    for row in &rows.rows {
-        match table {
-            store::Table::Operators => apply_configuration_row(gateway, row, source),
-            store::Table::Targets => apply_target_row(gateway, row, source),
-            store::Table::Instances => {}
+fn apply_rows(gateway: &Gateway, table: store::Table, rows: store::Rows, is_complete: bool) {
+    match table {
+        store::Table::Operators => {
+            for row in rows.rows {
+                apply_configuration_row(gateway, row);
+            }
         }
+        store::Table::Targets => {
+            let entries = rows.rows.into_iter().map(|row| (row.key, row.value));
+            let changes = ListChanges {
+                version: ListVersion(rows.version.0),
+                is_complete,
+                entries: entries.collect(),
+            };
+            apply_target_list(gateway, changes, STORE_SOURCE);
+        }
+        store::Table::Instances => {}
     }
 }
 
-fn apply_configuration_row(gateway: &Gateway, row: &store::Row, source: &str) {
+fn apply_configuration_row(gateway: &Gateway, row: store::Row) {
     if row.key != store::CONFIGURATION_KEY {
         return;
     }
-    if let Some(value) = &row.value {
-        gateway.apply_configuration(Bytes::from(value.clone()), source);
+    if let Some(value) = row.value {
+        gateway.apply_configuration(Bytes::from(value), STORE_SOURCE);
     }
 }
 
-fn apply_target_row(gateway: &Gateway, row: &store::Row, source: &str) {
+/// Applies a complete target list or its changes, from the store or from a peer.
+pub fn apply_target_list(gateway: &Gateway, changes: ListChanges, source: &str) {
+    let changed = gateway.target_list.borrow_mut().apply(changes);
+    for (key, value) in &changed {
+        apply_target_entry(gateway, key, value.as_deref(), source);
+    }
+    gateway.target_list_loaded.set(true);
+    if !changed.is_empty() {
+        gateway.report_progress();
+    }
+}
+
+fn apply_target_entry(gateway: &Gateway, key: &str, value: Option<&[u8]>, source: &str) {
     let now = gateway.clock.now();
-    let id = EngineId::new(&row.key);
-    let Some(value) = &row.value else {
+    let id = EngineId::new(key);
+    let Some(value) = value else {
         remove_target(gateway, &id);
         return;
     };
-    let mut stored = gateway.stored_target_list.borrow_mut();
-    stored.insert(row.key.clone(), value.clone());
-    drop(stored);
-    match discovery::decode_target(&row.key, value) {
+    match discovery::decode_target(key, value) {
         Ok(facts) => {
             let mut targets = gateway.targets.borrow_mut();
             let previous = targets.get(&id).map(|target| &target.facts);
@@ -261,30 +341,16 @@
             targets.upsert(facts, now);
         }
         Err(err) => {
-            process_events::log_target_entry_faulty(&row.key, &err);
+            process_events::log_target_entry_faulty(key, &err);
             remove_target(gateway, &id);
         }
     }
 }
 
-/// Removes the targets that have no entry in `rows`, a complete target list.
-fn remove_missing_targets(gateway: &Gateway, rows: &store::Rows) {
-    let has_entry = |id: &EngineId| rows.rows.iter().any(|row| row.key == id.as_str());
-    let missing: Vec<EngineId> = {
-        let targets = gateway.targets.borrow();
-        let ids = targets.iter().map(|target| target.facts.id.clone());
-        ids.filter(|id| !has_entry(id)).collect()
-    };
-    for id in missing {
-        remove_target(gateway, &id);
-    }
-}
-
 /// Removes a target without an entry. Entries also expire during a store outage;
 /// therefore a target without an entry shortly after a store failure stays usable
 /// until running targets have written their entries again.
 fn remove_target(gateway: &Gateway, id: &EngineId) {
-    gateway.stored_target_list.borrow_mut().remove(id.as_str());
     let now = gateway.clock.now();
     let last_failure_at = gateway.last_store_failure_at.get();
     let linger = last_failure_at.map_or(Duration::ZERO, |at| (at + ENTRY_RECOVERY_TIME) - now);
