--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -27,6 +27,7 @@
 
 mod clients;
 mod faults;
+mod lost_bytes;
 mod proxy;
 mod recovery;
 
--- a/crates/daemon/tests/soak/proxy.rs
+++ b/crates/daemon/tests/soak/proxy.rs
@@ -17,9 +17,10 @@
     Delayed(Duration),
     /// Resets open connections, and new ones once the proxy has connected to the server.
     Reset,
-    /// Drops bytes from the server: requests arrive, responses do not.
+    /// Drops bytes from the server: requests arrive, responses do not. A connection that
+    /// lost bytes delivers no later ones in that direction.
     ResponsesDropped,
-    /// Drops bytes from the client.
+    /// Drops bytes from the client, in the same way.
     RequestsDropped,
     /// Holds back bytes and the close of connections until the impairment changes.
     Stalled,
@@ -98,11 +99,12 @@
         (client.into_split(), server.into_split());
     tokio::select! {
         () = wait_for_reset(&proxy) => {}
-        () = async {
-            tokio::join!(
+        // Dropping the sockets resets the connection.
+        _ = async {
+            tokio::try_join!(
                 forward_bytes(&proxy, from_client, to_server, true),
                 forward_bytes(&proxy, from_server, to_client, false),
-            );
+            )
         } => {}
     }
 }
@@ -113,13 +115,17 @@
     }
 }
 
+/// Bytes of a connection were lost before it ended.
+struct BytesLost;
+
 /// Forwards one direction of a connection until it ends.
 async fn forward_bytes(
     proxy: &Proxy,
     mut from: tcp::OwnedReadHalf,
     mut to: tcp::OwnedWriteHalf,
     to_server: bool,
-) {
+) -> Result<(), BytesLost> {
+    let mut has_gap = false;
     let mut buffer = [0; 16 * 1024];
     loop {
         let read_result = from.read(&mut buffer).await;
@@ -131,15 +137,20 @@
         }
         let impairment = proxy.impairment.get();
         match read_result {
+            Ok(0) | Err(_) if has_gap => {
+                // Dropping the half would end the stream as if it were complete.
+                to.forget();
+                return Err(BytesLost);
+            }
             Ok(0) | Err(_) => {
                 // Forward the close, also when the impairment drops bytes.
                 let _ = to.shutdown().await;
-                return;
+                return Ok(());
             }
-            Ok(_) if impairment.is_lossy(to_server) => {}
+            Ok(_) if has_gap || impairment.is_lossy(to_server) => has_gap = true,
             Ok(length) => {
                 if to.write_all(&buffer[..length]).await.is_err() {
-                    return;
+                    return Ok(());
                 }
             }
         }
