Count overdue prompts as backlog at peers too

Cause: an instance keeps 0.7 of a part's prefill time as backlog until the first event, but its peers let the reported backlog run out with time. As they now hear of changes only, engines that fell behind looked idle to all but one instance, and up to six long prompts were split over the same engines.

Change: a load says how much of its backlog remains unconfirmed, and peers keep that.

--- a/crates/core/src/serving/placement/stream.rs
+++ b/crates/core/src/serving/placement/stream.rs
@@ -499,6 +499,7 @@
             requests: 1,
             decoding_streams: 0,
             backlog: prefill_time,
+            unconfirmed_backlog: Duration::ZERO,
             memory,
             strictest_gap: Some(gap),
             value,
--- a/crates/core/src/serving/targets.rs
+++ b/crates/core/src/serving/targets.rs
@@ -72,8 +72,11 @@
         pub requests: u32,
         /// Streams past their first event.
         pub decoding_streams: u32,
-        /// Remaining prefill time of the prompts.
+        /// Expected remaining prefill time of the prompts.
         pub backlog: Duration,
+        /// Part of the backlog that remains, even if it was expected to end by now,
+        /// until first events show that the prompts are prefilled. At most `backlog`.
+        pub unconfirmed_backlog: Duration,
         /// KV memory of the requests.
         pub memory: Tokens,
         /// Shortest gap objective among the streams.
@@ -597,6 +600,7 @@
     fn estimate(&self, reported: &ReportedLoad, now: Instant) -> Option<Load> {
         let load = reported.load;
         let backlog = load.backlog.saturating_sub(now - reported.reported_at);
+        let backlog = backlog.max(load.unconfirmed_backlog);
         (now - self.received_at <= PEER_LOAD_TTL).then_some(Load { backlog, ..load })
     }
 }
@@ -607,6 +611,7 @@
         self.requests += other.requests;
         self.decoding_streams += other.decoding_streams;
         self.backlog += other.backlog;
+        self.unconfirmed_backlog += other.unconfirmed_backlog;
         self.memory += other.memory;
         self.value += other.value;
         self.strictest_gap = match (self.strictest_gap, other.strictest_gap) {
@@ -625,24 +630,32 @@
             return Load::default();
         }
         let lead_stream = self.stream.filter(|_| is_lead);
-        let backlog = if self.has_first_event {
-            Duration::ZERO
-        } else {
-            let last_prefilled_at = self.prefilled_at.iter().max().copied().unwrap_or_default();
-            let min_backlog = if self.prefilled_at[index] + MIN_PREFILL_LEAD < last_prefilled_at {
-                Duration::ZERO
-            } else {
-                part.prefill_time.mul_f64(OVERDUE_BACKLOG_SHARE)
-            };
-            (self.prefilled_at[index] - now).clamp(min_backlog, part.prefill_time)
+        let (backlog, unconfirmed_backlog) = match self.has_first_event {
+            true => (Duration::ZERO, Duration::ZERO),
+            false => self.backlog_of(index, now),
         };
         Load {
             requests: 1,
             decoding_streams: u32::from(self.has_first_event && self.stream.is_some()),
             backlog,
+            unconfirmed_backlog,
             memory: part.memory,
             strictest_gap: lead_stream.map(|stream| stream.gap),
             value: lead_stream.map_or(0.0, |stream| stream.value),
         }
     }
+
+    /// Backlog of one part before the first event, and how much of it stays when the
+    /// part is overdue.
+    fn backlog_of(&self, index: usize, now: Instant) -> (Duration, Duration) {
+        let part = &self.parts[index];
+        let last_prefilled_at = self.prefilled_at.iter().max().copied().unwrap_or_default();
+        let unconfirmed = if self.prefilled_at[index] + MIN_PREFILL_LEAD < last_prefilled_at {
+            Duration::ZERO
+        } else {
+            part.prefill_time.mul_f64(OVERDUE_BACKLOG_SHARE)
+        };
+        let expected = self.prefilled_at[index] - now;
+        (expected.clamp(unconfirmed, part.prefill_time), unconfirmed)
+    }
 }
--- a/crates/core/tests/serving/targets.rs
+++ b/crates/core/tests/serving/targets.rs
@@ -301,3 +301,29 @@
     targets.record_end(first, Outcome::Served, ms(1));
     assert_eq!(taken(&mut targets), [(id(1), 0), (id(2), 1)]);
 }
+
+/// Pattern: long prompts on engines that fall behind. Peers that took them for idle once
+/// their prompts were due piled further prompts on them.
+#[test]
+fn a_peers_overdue_prompt_still_counts_as_backlog() {
+    let mut own = targets();
+    let prompt = own.begin(vec![part(1, 300), part(2, 300)], Some(TRAITS), ms(0));
+    let mut other = targets();
+    let changed = own.take_changed_loads(ms(1)).into_iter().collect();
+    report(&mut other, "a", 1, false, changed, 1);
+    for at_ms in [1, 100, 250, 400, 1_500] {
+        for number in [1, 2] {
+            let expected = own.load(&id(number), ms(at_ms)).backlog;
+            assert_eq!(
+                other.load(&id(number), ms(at_ms)).backlog,
+                expected,
+                "backlog of target {number} at {at_ms} ms as the peer sees it"
+            );
+            assert!(expected >= Duration::from_millis(200));
+        }
+    }
+    own.record_first_event(prompt);
+    let changed = own.take_changed_loads(ms(1_500)).into_iter().collect();
+    report(&mut other, "a", 2, false, changed, 1_500);
+    assert_eq!(other.load(&id(1), ms(1_500)).backlog, Duration::ZERO);
+}
