Simulate 118 instances that report their loads as the daemon does

The simulation moves to a file of its own and takes the daemon's schedule of messages; the old deployments keep their intervals, and all bounds stay. Two loads are new: bursts of short and of long prompts at 118 instances before 150 engines.

--- a/crates/core/tests/serving/loads.rs
+++ b/crates/core/tests/serving/loads.rs
@@ -1,366 +1,33 @@
 //! The heaviest loads that the users describe, on simulated engines.
-//!
-//! A simulated engine prefills the parts it was sent within its iterations, the parts
-//! of split prompts first, and emits one event per iteration for each decoding stream.
-//! Several instances place requests by the loads that their peers last reported.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
-use cyclamengauge_core::{
-    clock::Instant,
-    ids::InstanceId,
-    serving::{
-        cost::EngineModel,
-        placement::{Placement, PlacementRequest, choose},
-        queue::{self, EntryId, Queue},
-        rate::Rate,
-        targets::{InFlightId, LoadReport, Outcome, Targets},
-    },
+use crate::{
+    fleet::ENGINES,
+    simulation::{Deployment, Gossip, OnTimeCount, RequestKind, simulate},
 };
 
-use crate::fleet::{ENGINES, id, model, ms, placement_request, stream, targets_of};
-
-const TICK_MS: u64 = 1;
-
-#[derive(Clone, Copy)]
-struct Deployment {
-    instances: usize,
-    engines: usize,
-    slots: u32,
-    /// Interval between two gossip messages of an instance.
-    gossip_interval_ms: u64,
-}
-
 const CURRENT_DEPLOYMENT: Deployment = Deployment {
     instances: 5,
     engines: ENGINES,
     slots: 16,
-    gossip_interval_ms: 25,
+    gossip: Gossip::Complete(25),
 };
 
 const GROWN_DEPLOYMENT: Deployment = Deployment {
     instances: 32,
     engines: 60,
     slots: 12,
-    gossip_interval_ms: 190,
+    gossip: Gossip::Complete(190),
 };
 
-#[derive(Clone, Copy)]
-struct RequestKind {
-    per_s: f64,
-    tokens: u64,
-    events: u32,
-}
-
-struct Request {
-    instance: usize,
-    tokens: u64,
-    arrived_ms: u64,
-    events_left: u32,
-    queue_entry: Option<EntryId>,
-    in_flight_id: Option<InFlightId>,
-    parts_left: usize,
-    lead: usize,
-    first_event_ms: Option<u64>,
-    last_event_ms: u64,
-    longest_gap_ms: u64,
-    done: bool,
-}
-
-#[derive(Default)]
-struct Engine {
-    /// Requests and the prefill time of their parts, in ms.
-    queued_parts: Vec<(usize, f64)>,
-    /// Requests past their prefill.
-    decoding: Vec<usize>,
-    /// End of the current iteration, in ms, and the requests prefilled in it.
-    iteration: Option<(u64, Vec<usize>)>,
-}
-
-struct OnTimeCount {
-    prompt_tokens: u64,
-    requests: usize,
-    on_time: usize,
-}
-
-struct Simulation {
-    deployment: Deployment,
-    rates: Vec<Rate>,
-    instances: Vec<(Targets, Queue)>,
-    engines: Vec<Engine>,
-    requests: Vec<Request>,
-    rng: fastrand::Rng,
-    /// Time of the next gossip message in ms, and its sender.
-    next_gossip: Vec<(u64, usize)>,
-}
-
-/// Simulates a load and counts the requests of each kind that are on time: the first
-/// event within its objective or `first_event_limit`, whichever is longer, and each
-/// gap within the gap objective.
-fn simulate(
-    deployment: Deployment,
-    kinds: &[RequestKind],
-    seconds: u64,
-    first_event_limit: Duration,
-    seed: u64,
-) -> Vec<OnTimeCount> {
-    let Deployment {
-        instances, engines, ..
-    } = deployment;
-    let targets = targets_of(engines, deployment.slots);
-    let mut simulation = Simulation {
-        deployment,
-        rates: vec![Rate::default(); instances],
-        instances: (0..instances)
-            .map(|_| (targets.clone(), Queue::default()))
-            .collect(),
-        engines: (0..engines).map(|_| Engine::default()).collect(),
-        requests: Vec::new(),
-        rng: fastrand::Rng::with_seed(seed),
-        next_gossip: (0..instances).map(|i| (i as u64 * 5, i)).collect(),
-    };
-    // The load ends 8 s before the simulation does, so that all requests can end.
-    for now_ms in (0..seconds * 1_000 + 8_000).step_by(TICK_MS as usize) {
-        if now_ms < seconds * 1_000 {
-            simulation.generate_requests(kinds, now_ms);
-        }
-        simulation.exchange_gossip(now_ms);
-        simulation.dispatch_queued(now_ms);
-        for engine in 0..engines {
-            simulation.advance_engine(engine, now_ms);
-        }
-    }
-    kinds
-        .iter()
-        .map(|kind| simulation.on_time_count(kind, first_event_limit))
-        .collect()
-}
-
-impl Simulation {
-    fn generate_requests(&mut self, kinds: &[RequestKind], now_ms: u64) {
-        for kind in kinds {
-            if self.rng.f64() >= kind.per_s * TICK_MS as f64 / 1e3 {
-                continue;
-            }
-            let instance = self.rng.usize(..self.deployment.instances);
-            let rate = &mut self.rates[instance];
-            *rate = rate.decayed_to(ms(now_ms)).with_event();
-            // Prompt lengths vary here, and response lengths below.
-            let factor = 0.5 + self.rng.f64();
-            let tokens = (kind.tokens as f64 * factor) as u64;
-            let request = Request {
-                instance,
-                tokens,
-                arrived_ms: now_ms,
-                events_left: (f64::from(kind.events) * (0.3 + 1.4 * self.rng.f64())) as u32 + 1,
-                queue_entry: None,
-                in_flight_id: None,
-                parts_left: 0,
-                lead: 0,
-                first_event_ms: None,
-                last_event_ms: 0,
-                longest_gap_ms: 0,
-                done: false,
-            };
-            self.requests.push(request);
-            let number = self.requests.len() - 1;
-            let prefill_time = model().prefill_time(stream(tokens).prompt);
-            if prefill_time >= queue::MIN_QUEUED_PREFILL_TIME {
-                let objective_at = ms(now_ms) + stream(tokens).objective;
-                let entry = self.instances[instance]
-                    .1
-                    .enqueue(objective_at, prefill_time);
-                self.requests[number].queue_entry = Some(entry);
-            } else {
-                self.place_and_dispatch(number, now_ms);
-            }
-        }
-    }
-
-    fn placement(&mut self, number: usize, now: Instant) -> Option<Placement> {
-        let request = &self.requests[number];
-        let targets = &self.instances[request.instance].0;
-        let peers = self.deployment.instances as f64 - 1.0;
-        let rate = self.rates[request.instance].decayed_to(now).per_s();
-        let request = PlacementRequest {
-            instances: self.deployment.instances as u32,
-            unreported_streams: rate * peers * self.deployment.gossip_interval_ms as f64 / 1e3,
-            ..placement_request(request.tokens)
-        };
-        let model = EngineModel {
-            slots: self.deployment.slots,
-            ..model()
-        };
-        choose(targets, &request, Some(&model), &mut self.rng, now).ok()
-    }
-
-    fn place_and_dispatch(&mut self, number: usize, now_ms: u64) {
-        let placement = self.placement(number, ms(now_ms)).unwrap();
-        self.dispatch(number, &placement, now_ms);
-    }
-
-    fn dispatch(&mut self, number: usize, placement: &Placement, now_ms: u64) {
-        let instance = self.requests[number].instance;
-        let targets = &mut self.instances[instance].0;
-        let in_flight_id = targets.begin(placement.parts.clone(), placement.stream, ms(now_ms));
-        let request = &mut self.requests[number];
-        request.in_flight_id = Some(in_flight_id);
-        request.parts_left = placement.parts.len();
-        for (index, part) in placement.parts.iter().enumerate() {
-            let engine = (0..self.engines.len())
-                .find(|n| id(*n) == part.target)
-                .unwrap();
-            if index == 0 {
-                request.lead = engine;
-            }
-            let prefill_ms = part.prefill_time.as_secs_f64() * 1e3;
-            let engine = &mut self.engines[engine];
-            match placement.parts.len() {
-                1 => engine.queued_parts.push((number, prefill_ms)),
-                _ => engine.queued_parts.insert(0, (number, prefill_ms)),
-            }
-        }
-    }
-
-    fn dispatch_queued(&mut self, now_ms: u64) {
-        let now = ms(now_ms);
-        let queued: Vec<usize> = (0..self.requests.len())
-            .filter(|n| self.requests[*n].queue_entry.is_some())
-            .collect();
-        for number in queued {
-            let (instance, entry) = {
-                let request = &self.requests[number];
-                (request.instance, request.queue_entry.unwrap())
-            };
-            if !self.instances[instance].1.is_next(entry, now) {
-                continue;
-            }
-            let Some(placement) = self.placement(number, now) else {
-                continue;
-            };
-            if placement.wait <= queue::MAX_DISPATCH_BACKLOG {
-                self.instances[instance].1.remove(entry);
-                self.requests[number].queue_entry = None;
-                self.dispatch(number, &placement, now_ms);
-            }
-        }
-    }
-
-    fn exchange_gossip(&mut self, now_ms: u64) {
-        for index in 0..self.next_gossip.len() {
-            let (at_ms, from) = self.next_gossip[index];
-            if at_ms > now_ms {
-                continue;
-            }
-            self.next_gossip[index].0 = now_ms + self.deployment.gossip_interval_ms;
-            let now = ms(now_ms);
-            let loads: BTreeMap<_, _> = self.instances[from].0.own_loads(now);
-            let prompts = self.instances[from].1.local_prompts(now);
-            for (to, (targets, queue)) in self.instances.iter_mut().enumerate() {
-                if to != from {
-                    let sender = InstanceId::new(format!("i{from}"));
-                    let loads = loads.iter().map(|(id, load)| (id.clone(), *load));
-                    let report = LoadReport {
-                        sequence: now_ms + 1,
-                        is_complete: true,
-                        loads: loads.collect(),
-                    };
-                    targets.merge_peer_loads(&sender, &report, now);
-                    queue.update_peer(sender, prompts.clone(), now);
-                }
-            }
-        }
-    }
-
-    fn advance_engine(&mut self, number: usize, now_ms: u64) {
-        let engine = &mut self.engines[number];
-        if let Some((ends_ms, prefilled)) = engine.iteration.take() {
-            if ends_ms > now_ms {
-                engine.iteration = Some((ends_ms, prefilled));
-                return;
-            }
-            self.finish_iteration(number, &prefilled, now_ms);
-        }
-        self.start_iteration(number, now_ms);
-    }
-
-    fn start_iteration(&mut self, number: usize, now_ms: u64) {
-        let model = model();
-        let engine = &mut self.engines[number];
-        if engine.decoding.is_empty() && engine.queued_parts.is_empty() {
-            return;
-        }
-        let free_slots = (self.deployment.slots as usize).saturating_sub(engine.decoding.len());
-        let part_count = match engine.decoding.len() {
-            // Without decoding streams, an engine prefills one part per iteration.
-            0 => engine.queued_parts.len().min(1),
-            _ => engine.queued_parts.len().min(free_slots.max(1)),
-        };
-        let prefilled: Vec<(usize, f64)> = engine.queued_parts.drain(..part_count).collect();
-        let prefill_ms: f64 = prefilled.iter().map(|(_, part_ms)| part_ms).sum();
-        let streams = engine.decoding.len() as u32;
-        let tokens = engine.decoding.iter().map(|n| self.requests[*n].tokens);
-        let context = cyclamengauge_core::units::Tokens(tokens.sum());
-        let iteration_ms = model.iteration_time(streams, context).as_secs_f64() * 1e3 + prefill_ms;
-        let ends_ms = now_ms + iteration_ms.ceil() as u64;
-        engine.iteration = Some((ends_ms, prefilled.into_iter().map(|(n, _)| n).collect()));
-    }
-
-    fn finish_iteration(&mut self, engine: usize, prefilled: &[usize], now_ms: u64) {
-        let decoding = self.engines[engine].decoding.clone();
-        for number in decoding {
-            self.emit_event(number, now_ms);
-        }
-        for number in prefilled {
-            let request = &mut self.requests[*number];
-            request.parts_left -= 1;
-            if request.parts_left == 0 {
-                let lead = request.lead;
-                self.engines[lead].decoding.push(*number);
-            }
-        }
-    }
-
-    fn emit_event(&mut self, number: usize, now_ms: u64) {
-        let request = &mut self.requests[number];
-        let targets = &mut self.instances[request.instance].0;
-        let in_flight_id = request.in_flight_id.unwrap();
-        if request.first_event_ms.is_none() {
-            request.first_event_ms = Some(now_ms - request.arrived_ms);
-            targets.record_first_event(in_flight_id);
-        } else {
-            let gap_ms = now_ms - request.last_event_ms;
-            request.longest_gap_ms = request.longest_gap_ms.max(gap_ms);
-        }
-        request.last_event_ms = now_ms;
-        request.events_left -= 1;
-        if request.events_left == 0 {
-            request.done = true;
-            targets.record_end(in_flight_id, Outcome::Served, ms(now_ms));
-            self.engines[request.lead].decoding.retain(|n| *n != number);
-        }
-    }
-
-    fn on_time_count(&self, kind: &RequestKind, first_event_limit: Duration) -> OnTimeCount {
-        let of_kind = self.requests.iter().filter(|request| {
-            let ratio = request.tokens as f64 / kind.tokens as f64;
-            (0.49..1.51).contains(&ratio)
-        });
-        let on_time = |request: &&Request| {
-            let objectives = stream(request.tokens);
-            let first_event = request.first_event_ms.map(Duration::from_millis);
-            request.done
-                && first_event
-                    .is_some_and(|time| time <= objectives.objective.max(first_event_limit))
-                && Duration::from_millis(request.longest_gap_ms) <= objectives.gap
-        };
-        OnTimeCount {
-            prompt_tokens: kind.tokens,
-            requests: of_kind.clone().count(),
-            on_time: of_kind.filter(on_time).count(),
-        }
-    }
-}
+/// 118 instances report as the daemon does.
+const LARGE_DEPLOYMENT: Deployment = Deployment {
+    instances: 118,
+    engines: 150,
+    slots: 10,
+    gossip: Gossip::Scheduled,
+};
 
 fn assert_on_time(counts: &[OnTimeCount], min_share: f64) {
     for count in counts {
@@ -468,3 +135,23 @@
         assert_on_time(&counts, TARGET_SHARE);
     }
 }
+
+/// Pattern: a burst of short prompts that begins at once at 118 instances, each of which
+/// sees a few of them a second. Guards against all instances choosing the same engines
+/// because they learn of each other's placements later than the objective.
+#[test]
+fn burst_of_short_prompts_at_a_hundred_instances_meets_the_objectives() {
+    let kinds = request_kinds(8.2, 8.0, 0.5);
+    let counts = simulate(LARGE_DEPLOYMENT, &kinds, 3, Duration::ZERO, 0);
+    assert_on_time(&counts, TARGET_SHARE);
+}
+
+/// Pattern: long prompts at 118 instances that keep half of the engines busy. Guards
+/// against instances that split prompts over the same engines: peers took an engine for
+/// idle as soon as its prompts were due. Each kind meets its own objective.
+#[test]
+fn burst_of_long_prompts_at_a_hundred_instances_meets_the_objectives() {
+    let kinds = request_kinds(1.8, 10.0, 22.0);
+    let counts = simulate(LARGE_DEPLOYMENT, &kinds, 4, Duration::ZERO, 0);
+    assert_on_time(&counts, TARGET_SHARE);
+}
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -10,6 +10,7 @@
 mod queue;
 mod retry_budget;
 mod routes;
+mod simulation;
 mod target_list;
 mod targets;
 mod watchers;
