Count the engines of a long prompt as free while its first event is produced

Cause: 0.7 of each part stayed as backlog until the first event, which comes an iteration or two after the prefill and 60 ms before peers hear of it.

Change: the backlog of a long prompt ends when its prefill is due and comes back if the first event is 200 ms overdue. The first event of a split prompt is reported at once.

Ruled out: the same for short prompts.

--- a/crates/core/src/serving/targets.rs
+++ b/crates/core/src/serving/targets.rs
@@ -9,6 +9,7 @@
 use crate::{
     clock::Instant,
     ids::{DataCentreId, EngineId, InstanceId, ServiceId},
+    serving::queue,
     units::Tokens,
 };
 
@@ -37,6 +38,11 @@
 /// Weight of the newest request in the moving average of a service's durations.
 const DURATION_WEIGHT: f64 = 0.1;
 
+/// Time from the end of the prefill of a long prompt to the first event: the rest of the current
+/// iteration and the one that produces the event. The other engines of a split prompt
+/// are idle in this time.
+const FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
+
 /// Share of a part's prefill time that remains as backlog when the first event is
 /// overdue: the estimate was too low.
 const OVERDUE_BACKLOG_SHARE: f64 = 0.7;
@@ -74,9 +80,10 @@
         pub decoding_streams: u32,
         /// Expected remaining prefill time of the prompts.
         pub backlog: Duration,
-        /// Part of the backlog that remains, even if it was expected to end by now,
-        /// until first events show that the prompts are prefilled. At most `backlog`.
-        pub unconfirmed_backlog: Duration,
+        /// Backlog that is assumed once first events are overdue.
+        pub overdue_backlog: Duration,
+        /// Time until the first of these events is overdue.
+        pub overdue_in: Duration,
         /// KV memory of the requests.
         pub memory: Tokens,
         /// Shortest gap objective among the streams.
@@ -599,9 +606,18 @@
     /// sent a message for [`PEER_LOAD_TTL`].
     fn estimate(&self, reported: &ReportedLoad, now: Instant) -> Option<Load> {
         let load = reported.load;
-        let backlog = load.backlog.saturating_sub(now - reported.reported_at);
-        let backlog = backlog.max(load.unconfirmed_backlog);
-        (now - self.received_at <= PEER_LOAD_TTL).then_some(Load { backlog, ..load })
+        let age = now - reported.reported_at;
+        let overdue_in = load.overdue_in.saturating_sub(age);
+        let mut backlog = load.backlog.saturating_sub(age);
+        if overdue_in.is_zero() {
+            backlog = backlog.max(load.overdue_backlog);
+        }
+        let is_recent = now - self.received_at <= PEER_LOAD_TTL;
+        is_recent.then_some(Load {
+            backlog,
+            overdue_in,
+            ..load
+        })
     }
 }
 
@@ -611,7 +627,12 @@
         self.requests += other.requests;
         self.decoding_streams += other.decoding_streams;
         self.backlog += other.backlog;
-        self.unconfirmed_backlog += other.unconfirmed_backlog;
+        self.overdue_in = match (self.overdue_backlog, other.overdue_backlog) {
+            (Duration::ZERO, _) => other.overdue_in,
+            (_, Duration::ZERO) => self.overdue_in,
+            _ => self.overdue_in.min(other.overdue_in),
+        };
+        self.overdue_backlog += other.overdue_backlog;
         self.memory += other.memory;
         self.value += other.value;
         self.strictest_gap = match (self.strictest_gap, other.strictest_gap) {
@@ -630,7 +651,7 @@
             return Load::default();
         }
         let lead_stream = self.stream.filter(|_| is_lead);
-        let (backlog, unconfirmed_backlog) = match self.has_first_event {
+        let (backlog, overdue_backlog) = match self.has_first_event {
             true => (Duration::ZERO, Duration::ZERO),
             false => self.backlog_of(index, now),
         };
@@ -638,24 +659,42 @@
             requests: 1,
             decoding_streams: u32::from(self.has_first_event && self.stream.is_some()),
             backlog,
-            unconfirmed_backlog,
+            overdue_backlog,
+            overdue_in: self.first_event_overdue_at() - now,
             memory: part.memory,
             strictest_gap: lead_stream.map(|stream| stream.gap),
             value: lead_stream.map_or(0.0, |stream| stream.value),
         }
     }
 
-    /// Backlog of one part before the first event, and how much of it stays when the
-    /// part is overdue.
+    /// Backlog of one part before the first event, and the backlog that is assumed once
+    /// the event is overdue.
     fn backlog_of(&self, index: usize, now: Instant) -> (Duration, Duration) {
         let part = &self.parts[index];
-        let last_prefilled_at = self.prefilled_at.iter().max().copied().unwrap_or_default();
-        let unconfirmed = if self.prefilled_at[index] + MIN_PREFILL_LEAD < last_prefilled_at {
-            Duration::ZERO
-        } else {
-            part.prefill_time.mul_f64(OVERDUE_BACKLOG_SHARE)
+        let overdue_backlog =
+            if self.prefilled_at[index] + MIN_PREFILL_LEAD < self.last_prefilled_at() {
+                Duration::ZERO
+            } else {
+                part.prefill_time.mul_f64(OVERDUE_BACKLOG_SHARE)
+            };
+        let expected = (self.prefilled_at[index] - now).min(part.prefill_time);
+        let backlog = match now >= self.first_event_overdue_at() {
+            true => expected.max(overdue_backlog),
+            false => expected,
         };
-        let expected = self.prefilled_at[index] - now;
-        (expected.clamp(unconfirmed, part.prefill_time), unconfirmed)
+        (backlog, overdue_backlog)
+    }
+
+    fn last_prefilled_at(&self) -> Instant {
+        self.prefilled_at.iter().max().copied().unwrap_or_default()
+    }
+
+    fn first_event_overdue_at(&self) -> Instant {
+        let prefill_time: Duration = self.parts.iter().map(|part| part.prefill_time).sum();
+        match prefill_time >= queue::MIN_QUEUED_PREFILL_TIME {
+            true => self.last_prefilled_at() + FIRST_EVENT_TIME,
+            // An iteration takes longer than the prefill, which may not have begun.
+            false => self.last_prefilled_at(),
+        }
     }
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -129,6 +129,8 @@
     pub target: EngineId,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Whether other engines prefill parts of the prompt.
+    has_helpers: bool,
     outcome: Outcome,
 }
 
@@ -144,6 +146,7 @@
             id,
             target: placement.target.clone(),
             address: placement.address,
+            has_helpers: !placement.helpers.is_empty(),
             outcome: Outcome::Unknown,
         }
     }
@@ -154,7 +157,11 @@
             .targets
             .borrow_mut()
             .record_first_event(self.id);
-        self.gateway.report_progress();
+        match self.has_helpers {
+            // It frees several engines for the next long prompt.
+            true => self.gateway.report_placement(),
+            false => self.gateway.report_progress(),
+        }
     }
 
     /// Records that bytes arrived from the target.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -239,7 +239,8 @@
         retry_budget.record_request(&request.service, now);
     }
 
-    /// Reports a placement or a change of the long-prompt queue to the peers at once.
+    /// Reports a placement, a change of the long-prompt queue, or the first event of a
+    /// split prompt to the peers at once.
     fn report_placement(&self) {
         let now = self.clock.now();
         self.gossip_schedule.borrow_mut().record_placement(now);
