End streams that only send comments, and streams that never pause, in time

Cause, found by targets that the tests' stand-in now plays (bytes without end in a head or a body, and a comment every 50 ms): - Any block of a stream counted as progress, comments too. A stalled engine that sent a comment now and then kept its stream until the client gave up. - A time limit was only looked at while no data was ready. A stream that always has data ready outlasted its deadline.

Change: comments are kept until the next event and returned with it; a wait that begins after the deadline ends at once.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -22,7 +22,8 @@
     telemetry::trace::TraceEvent,
 };
 
-/// Maximum length of an event; also limits the buffer of a stream.
+/// Maximum length of an event and the comments before it; also limits the buffer of a
+/// stream.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Why a stream broke.
@@ -57,6 +58,9 @@
     exchange: Exchange,
     /// Received bytes that are not returned yet.
     buffer: BytesMut,
+    /// Comments before the next event. They are no progress of the response, so they are
+    /// returned with the event.
+    comments: BytesMut,
     /// Whether the response body is complete.
     body_ended: bool,
 }
@@ -75,6 +79,7 @@
         Self {
             exchange,
             buffer: BytesMut::new(),
+            comments: BytesMut::new(),
             body_ended: false,
         }
     }
@@ -101,7 +106,13 @@
             }
             if self.body_ended {
                 if self.buffer.is_empty() {
-                    return Ok(None);
+                    let bytes = self.comments.split().freeze();
+                    let last_event_id = None;
+                    let comments = EventBatch {
+                        bytes,
+                        last_event_id,
+                    };
+                    return Ok((!comments.bytes.is_empty()).then_some(comments));
                 }
                 let err =
                     anyhow::anyhow!("stream ended after {} bytes of an event", self.buffer.len());
@@ -115,7 +126,7 @@
                     if let Some(data) = frame.data_ref() {
                         self.buffer.extend_from_slice(data);
                     }
-                    if self.buffer.len() > MAX_EVENT_BYTES {
+                    if self.buffer.len() + self.comments.len() > MAX_EVENT_BYTES {
                         let err = anyhow::anyhow!("event exceeds {MAX_EVENT_BYTES} bytes");
                         return Err(StreamError::Connection(err));
                     }
@@ -165,9 +176,14 @@
         let mut last_event_id = None;
         while let Some(end) = event_end(&self.buffer) {
             let event = self.buffer.split_to(end);
+            if is_comment(&event) {
+                self.comments.extend_from_slice(&event);
+                continue;
+            }
             let id = event_id(&event);
             let already_forwarded = id.is_some() && id <= after;
             if !already_forwarded {
+                bytes.extend_from_slice(&self.comments.split());
                 bytes.extend_from_slice(&event);
                 last_event_id = id.or(last_event_id);
             }
@@ -323,6 +339,12 @@
     None
 }
 
+/// Whether a block of a stream has only comments and no event.
+fn is_comment(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+}
+
 /// Returns the id of an event; none if the event has no id or a non-numeric one.
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
--- a/crates/daemon/src/gateway/response_timeouts.rs
+++ b/crates/daemon/src/gateway/response_timeouts.rs
@@ -148,6 +148,10 @@
         tokio::pin!(future);
         let since = gateway.clock.now();
         let (id, address) = target;
+        // A target that always has data ready would outlast any time limit.
+        if since >= deadline {
+            return Err(WaitError::DeadlineExceeded);
+        }
         let mut probe_at = since + self.probe_interval;
         loop {
             let wait = gateway.clock.until(probe_at.min(deadline));
