Log and count which instances watch the store's tables

An instance that fetches changes from its peers relies on them, so an operator must see it: the event watch says when that changes, the gauge cyclamengauge_watching whether it does now.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -96,6 +96,8 @@
     "store-lost" ["table", "cause"] "updates of a table of the store can't be read";
     "store-back" ["table", "lost_ms"] "updates of the table can be read again";
     "store-history-gone" ["table"] "a table is read in full, as the store no longer has its recent changes";
+    "watch" ["state", "before"]
+        "whether the instance watches the store's tables or fetches changes from its peers";
     "peers" ["alive", "before"] "the number of live peers changed";
     "peer-faulty" ["peer", "cause"] "a message or response of a peer is invalid";
     "announce-failed" ["cause"] "the instance could not write its address to the store, or read its peers'";
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -2,9 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use cyclamengauge_core::{clock::Instant, ids::ServiceId, serving::targets::Target};
+use cyclamengauge_core::{
+    clock::Instant,
+    ids::ServiceId,
+    serving::{targets::Target, watchers::WatchState},
+};
 
-use crate::{gateway::Gateway, telemetry};
+use crate::{
+    gateway::{Gateway, watch},
+    telemetry,
+};
 
 /// Value of the label `state` of `cyclamengauge_targets`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -43,6 +50,8 @@
     let dropped_lines = telemetry::dropped_lines() as f64;
     metrics::gauge!("cyclamengauge_log_lines_lost").set(dropped_lines);
     metrics::gauge!("cyclamengauge_peers").set(f64::from(gateway.instance_count() - 1));
+    let is_watching = watch::watch_state(gateway) == WatchState::Watching;
+    metrics::gauge!("cyclamengauge_watching").set(f64::from(u8::from(is_watching)));
     metrics::gauge!("cyclamengauge_requests_in_progress")
         .set(gateway.requests_in_progress.get() as f64);
     let version = gateway.configuration_version() as f64;
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -175,7 +175,11 @@
         store::Table::Targets => &gateway.target_list_watch,
         store::Table::Operators | store::Table::Instances => &gateway.configuration_watch,
     };
-    if watch.replace(state) != state {
+    let before = watch_state(gateway);
+    watch.set(state);
+    let now = watch_state(gateway);
+    if now != before {
+        process_events::log_watch(now, before);
         gateway.report_progress();
     }
 }
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -8,7 +8,7 @@
 
 use cyclamengauge_core::{
     ids::{EngineId, InstanceId},
-    serving::targets::TargetFacts,
+    serving::{targets::TargetFacts, watchers::WatchState},
 };
 
 /// Logs that the process serves on `listen`.
@@ -154,6 +154,17 @@
     );
 }
 
+/// Logs that this instance began or ceased to watch the tables of the store.
+pub fn log_watch(state: WatchState, before: WatchState) {
+    let (state, before) = (state.name(), before.name());
+    tracing::info!(
+        event = "watch",
+        state,
+        before,
+        "platform: the watch of the tables is {state}, was {before}"
+    );
+}
+
 /// Logs that a table is read from the start because the store no longer has the
 /// history of its changes.
 pub fn log_store_history_gone(table: &dyn fmt::Debug) {
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -14,7 +14,7 @@
 use cyclamengauge_core::{
     events::{self, EventKind},
     ids::{AccountId, DataCentreId, EngineId, InstanceId, ServiceId},
-    serving::targets::TargetFacts,
+    serving::{targets::TargetFacts, watchers::WatchState},
     text::SmolStr,
     units::Tokens,
 };
@@ -224,6 +224,7 @@
         process_events::log_store_lost(&"targets", &err);
         process_events::log_store_back(&"targets", TEST_DURATION);
         process_events::log_store_history_gone(&"targets");
+        process_events::log_watch(WatchState::Fetching, WatchState::Watching);
         process_events::log_peers(4, 3);
         process_events::log_peer_faulty("b", &err);
         process_events::log_announce_failed(&err);
