--- a/crates/core/src/serving/targets.rs
+++ b/crates/core/src/serving/targets.rs
@@ -38,9 +38,9 @@
 /// Weight of the newest request in the moving average of a service's durations.
 const DURATION_WEIGHT: f64 = 0.1;
 
-/// Time from the end of the prefill of a long prompt to the first event: the rest of the current
-/// iteration and the one that produces the event. The other engines of a split prompt
-/// are idle in this time.
+/// Time from the end of the prefill of a long prompt to its first event: the rest of the
+/// current iteration and the one that produces the event. The helpers are idle in this
+/// time.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
 
 /// Share of a part's prefill time that remains as backlog when the first event is
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -3,9 +3,9 @@
 //! A message is one datagram. Changes are sent to all live peers soon after they occur.
 //! The complete state of the sender follows at an interval and makes up for lost
 //! messages. A message to a data centre with several instances crosses the link to it
-//! once: one of these instances forwards it to the others. If a
-//! peer reports a newer configuration or target list, this instance fetches it from the
-//! peer, unless it watches the platform's tables itself.
+//! once: one of these instances forwards it to the others. If a peer reports a newer
+//! configuration or target list, this instance fetches it from the peer, unless it
+//! watches the platform's tables itself.
 
 mod fetch;
 mod messages;
