Log how many store calls an outage failed and how long the latest took

Cause: the logs of the late configurations show the first failed call of an outage only, so a lost long poll can't be told from a long retry delay. Change: store-back has failed_calls and latest_call_ms; the times of the calls move, unchanged, from the daemon's watch to serving/store_calls, where they can be tested without a network.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -94,7 +94,8 @@
     "target-crashed" ["request", "target", "cause"]
         "the connection to a target was lost and a new one can't be opened";
     "store-lost" ["table", "cause"] "updates of a table of the store can't be read";
-    "store-back" ["table", "lost_ms"] "updates of the table can be read again";
+    "store-back" ["table", "lost_ms", "failed_calls", "latest_call_ms"]
+        "updates of the table can be read again; the latest of its failed calls took `latest_call_ms`";
     "store-history-gone" ["table"] "a table is read in full, as the store no longer has its recent changes";
     "watch" ["state", "before"]
         "whether the instance watches the store's tables or fetches changes from its peers";
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 - [`cost`] estimates the cost of a prompt to an engine and to the streams on it;
 - [`targets`] tracks the targets, their health and their load;
 - [`peers`] tracks the other instances;
+- [`store_calls`] times the calls that watch the platform's tables;
 - [`watchers`] picks the instances that watch the platform's tables;
 - [`target_list`] keeps the target list for peers that fetch it;
 - [`dissemination`] schedules the reports of loads to them;
@@ -24,6 +25,7 @@
 pub mod rate;
 pub mod retry_budget;
 pub mod routes;
+pub mod store_calls;
 pub mod target_list;
 pub mod targets;
 pub mod watchers;
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
+use cyclamengauge_core::serving::store_calls::FeedCall;
 use cyclamengauge_platform::store;
 use http::{Method, Request, Response};
 use http_body_util::Full;
@@ -61,9 +62,8 @@
         Ok(has_more)
     }
 
-    /// Waits up to `max_wait` for changes of a table after the version `since`;
-    /// `response_margin` is the time for the response after that. `None` if the store
-    /// no longer has the changes since then, and the table must be read in full.
+    /// Waits for changes of a table after the version `since`. `None` if the store no
+    /// longer has the changes since then, and the table must be read in full.
     ///
     /// # Errors
     ///
@@ -73,12 +73,11 @@
         &mut self,
         table: store::Table,
         since: store::StoreVersion,
-        max_wait: Duration,
-        response_margin: Duration,
+        feed: FeedCall,
     ) -> anyhow::Result<Option<store::Rows>> {
-        let path = store::feed_path(table, since, max_wait);
+        let path = store::feed_path(table, since, feed.max_wait);
         let response = self
-            .call(Method::GET, &path, Bytes::new(), max_wait + response_margin)
+            .call(Method::GET, &path, Bytes::new(), feed.timeout)
             .await?;
         if response.status().as_u16() == store::HISTORY_GONE_STATUS {
             return Ok(None);
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -7,6 +7,7 @@
 use cyclamengauge_core::{
     ids::EngineId,
     serving::{
+        store_calls::{FeedCall, StoreCalls, WatchLimits},
         target_list::{ListChanges, ListVersion},
         watchers::WatchState,
     },
@@ -18,15 +19,6 @@
     telemetry::process_events,
 };
 
-/// Minimum wait of a feed call for changes.
-const MIN_FEED_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Time for the store's response to a feed call, beyond the call's wait.
-const FEED_RESPONSE_MARGIN: Duration = Duration::from_millis(700);
-
-/// Time for reconnecting and reading the changes after a feed call timed out.
-const FEED_RECOVERY_TIME: Duration = Duration::from_millis(800);
-
 /// Delay after a change of the target list, so that further changes arrive in one
 /// response. It is far below the time for which a leaving target still serves.
 const TARGET_LIST_BATCH_DELAY: Duration = Duration::from_millis(250);
@@ -40,12 +32,6 @@
 /// Time for the store's response to any other call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Retry delay after the first failed call.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
-
-/// Upper bound of the retry delay, which doubles with each failed call.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_000);
-
 /// Time after a store failure within which running targets write their entries
 /// again: the time in the platform's documentation and a margin.
 const ENTRY_RECOVERY_TIME: Duration = Duration::from_millis(2_200);
@@ -67,10 +53,10 @@
 /// instances. Failed calls are retried.
 pub async fn announce_and_find_peers(gateway: Rc<Gateway>) {
     let mut client = StoreClient::new(gateway.settings.borrow().store_address);
-    let mut retry_delay = MIN_RETRY_DELAY;
+    let mut calls = StoreCalls::default();
     while let Err(err) = announce(&gateway, &mut client).await {
         process_events::log_announce_failed(&err);
-        back_off(&gateway, &mut retry_delay).await;
+        back_off(&gateway, &mut calls).await;
     }
     let mut rows_read = None;
     loop {
@@ -86,7 +72,7 @@
             }
             Err(err) => {
                 process_events::log_announce_failed(&err.context("read peer addresses"));
-                back_off(&gateway, &mut retry_delay).await;
+                back_off(&gateway, &mut calls).await;
             }
         }
     }
@@ -121,36 +107,28 @@
 /// watchers. Failed calls are retried.
 async fn watch_table(gateway: Rc<Gateway>, table: store::Table) {
     let mut client = StoreClient::new(gateway.settings.borrow().store_address);
-    let mut retry_delay = MIN_RETRY_DELAY;
+    let mut calls = StoreCalls::default();
     let mut since = None;
     let mut rows_read = None;
-    let mut failing_since = None;
     loop {
         if table == store::Table::Targets {
             wait_for_store(&gateway).await;
         }
-        let mut feed_wait = feed_wait(&gateway);
+        let mut feed = calls.feed_call(watch_limits(&gateway));
         if since.is_some() && wait_for_turn(&gateway, table).await {
             // Peers rely on the watch once a call has succeeded.
-            feed_wait = Duration::ZERO;
+            feed = FeedCall::without_wait();
         }
-        let updates = fetch_updates(
-            &gateway,
-            &mut client,
-            table,
-            since,
-            feed_wait,
-            &mut rows_read,
-        )
-        .await;
+        let started_at = gateway.clock.now();
+        let updates =
+            fetch_updates(&gateway, &mut client, table, since, feed, &mut rows_read).await;
         match updates {
             Ok(version) => {
-                if let Some(at) = failing_since.take() {
-                    process_events::log_store_back(&table, gateway.clock.now() - at);
+                if let Some(outage) = calls.record_success() {
+                    process_events::log_store_back(&table, &outage, gateway.clock.now());
                 }
                 since = version;
                 set_state(&gateway, table, TableWatch::Active);
-                retry_delay = MIN_RETRY_DELAY;
                 let now = Some(gateway.clock.now());
                 gateway.last_store_success_at.set(now);
                 if table == store::Table::Targets {
@@ -158,13 +136,14 @@
                 }
             }
             Err(err) => {
-                if failing_since.is_none() {
-                    failing_since = Some(gateway.clock.now());
+                let now = gateway.clock.now();
+                let outage = calls.record_failure(started_at, now);
+                if outage.failed_calls == 1 {
                     process_events::log_store_lost(&table, &err);
                 }
-                gateway.last_store_failure_at.set(Some(gateway.clock.now()));
+                gateway.last_store_failure_at.set(Some(now));
                 set_state(&gateway, table, TableWatch::Failing);
-                back_off(&gateway, &mut retry_delay).await;
+                back_off(&gateway, &mut calls).await;
             }
         }
     }
@@ -229,18 +208,15 @@
     }
 }
 
-/// Maximum wait of a feed call. A dead connection counts as a disruption: it must
-/// be detected and replaced before the time at which a change made after the
-/// disruption must be in force.
-fn feed_wait(gateway: &Gateway) -> Duration {
+fn watch_limits(gateway: &Gateway) -> WatchLimits {
     let bounds = gateway.settings.borrow().bounds;
-    let limit = bounds.reconnect_limit + bounds.configuration_apply_limit;
-    limit
-        .saturating_sub(FEED_RESPONSE_MARGIN + FEED_RECOVERY_TIME)
-        .max(MIN_FEED_WAIT)
+    WatchLimits {
+        reconnect: bounds.reconnect_limit,
+        apply: bounds.configuration_apply_limit,
+    }
 }
 
-/// Waits up to `feed_wait` for the changes of a table after `since`, or, without
+/// Waits as long as `feed` says for the changes of a table after `since`, or, without
 /// `since`, reads the table's next page. Returns the version up to which the table is
 /// now applied; `None` if there are more pages, or if the table must be read in full
 /// again.
@@ -249,7 +225,7 @@
     client: &mut StoreClient,
     table: store::Table,
     since: Option<store::StoreVersion>,
-    feed_wait: Duration,
+    feed: FeedCall,
     rows_read: &mut Option<store::Rows>,
 ) -> anyhow::Result<Option<store::StoreVersion>> {
     let Some(since) = since else {
@@ -269,9 +245,7 @@
         store::Table::Targets => since.max(list_version),
         store::Table::Operators | store::Table::Instances => since,
     };
-    let changes = client
-        .wait_for_changes(table, since, feed_wait, FEED_RESPONSE_MARGIN)
-        .await?;
+    let changes = client.wait_for_changes(table, since, feed).await?;
     let Some(rows) = changes else {
         process_events::log_store_history_gone(&table);
         return Ok(None);
@@ -365,10 +339,7 @@
     }
 }
 
-/// Sleeps for `retry_delay` with a jitter of ±25 % and doubles it up to
-/// [`MAX_RETRY_DELAY`].
-async fn back_off(gateway: &Gateway, retry_delay: &mut Duration) {
-    let jitter = 0.75 + 0.5 * gateway.rng.borrow_mut().f64();
-    actix_rt::time::sleep(retry_delay.mul_f64(jitter)).await;
-    *retry_delay = (*retry_delay * 2).min(MAX_RETRY_DELAY);
+async fn back_off(gateway: &Gateway, calls: &mut StoreCalls) {
+    let draw = gateway.rng.borrow_mut().f64();
+    actix_rt::time::sleep(calls.take_retry_delay(draw)).await;
 }
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -7,8 +7,9 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use cyclamengauge_core::{
+    clock::Instant,
     ids::{EngineId, InstanceId},
-    serving::{targets::TargetFacts, watchers::WatchState},
+    serving::{store_calls::Outage, targets::TargetFacts, watchers::WatchState},
 };
 
 /// Logs that the process serves on `listen`.
@@ -144,12 +145,14 @@
     );
 }
 
-/// Logs that changes of a table can be read again, after `lost` without them.
-pub fn log_store_back(table: &dyn fmt::Debug, lost: Duration) {
+/// Logs that changes of a table can be read again after an outage.
+pub fn log_store_back(table: &dyn fmt::Debug, outage: &Outage, now: Instant) {
     tracing::info!(
         event = "store-back",
         ?table,
-        lost_ms = millis(lost),
+        lost_ms = millis(now - outage.since),
+        failed_calls = outage.failed_calls,
+        latest_call_ms = millis(outage.latest_call),
         "platform: reading changes of table {table:?} works again"
     );
 }
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -12,9 +12,10 @@
 };
 
 use cyclamengauge_core::{
+    clock,
     events::{self, EventKind},
     ids::{AccountId, DataCentreId, EngineId, InstanceId, ServiceId},
-    serving::{targets::TargetFacts, watchers::WatchState},
+    serving::{store_calls::Outage, targets::TargetFacts, watchers::WatchState},
     text::SmolStr,
     units::Tokens,
 };
@@ -222,7 +223,12 @@
         process_events::log_target_suspect(&target_id(), "silent", TEST_DURATION);
         process_events::log_target_crashed("r1", &target_id(), &err);
         process_events::log_store_lost(&"targets", &err);
-        process_events::log_store_back(&"targets", TEST_DURATION);
+        let outage = Outage {
+            since: clock::Instant::ZERO,
+            failed_calls: 3,
+            latest_call: TEST_DURATION,
+        };
+        process_events::log_store_back(&"targets", &outage, clock::Instant::ZERO + TEST_DURATION);
         process_events::log_store_history_gone(&"targets");
         process_events::log_watch(WatchState::Fetching, WatchState::Watching);
         process_events::log_peers(4, 3);
