--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -11,6 +11,7 @@
 mod retry_budget;
 mod routes;
 mod simulation;
+mod store_calls;
 mod target_list;
 mod targets;
 mod watchers;
