Give up lost store calls in time for the next configuration

What callers saw: after an outage of the store in which calls got no response, requests were handled by an old configuration more than 2 s after a new one was acknowledged. Cause: a retry was a feed call with the whole wait. One that was sent just before the end of the outage was given up after 4.2 s; the wait had been computed as if the limits for reconnecting and for applying a change added up, and they don't. Evidence: store-back of all instances, failed_calls 3, latest_call_ms 4,204 to 4,208. Change: during an outage a feed call doesn't wait for changes; on a sound connection its timeout and the retry fit into the longer of the two limits; the time that a failed call took counts as part of the retry delay. The target list's watch has the same timing.

--- a/crates/core/src/serving/store_calls.rs
+++ b/crates/core/src/serving/store_calls.rs
@@ -2,31 +2,39 @@
 //!
 //! A feed call returns as soon as the table changes, or else after the longest wait that
 //! it asks for. A response can get lost while the connection stays open; only the
-//! timeout of the call shows that.
+//! timeout of the call shows that. A call that is lost just before the end of a
+//! disruption delays what changes afterwards, so its timeout and the retry fit into the
+//! limit for being up to date again.
 
 use std::time::Duration;
 
 use crate::clock::Instant;
 
-/// Shortest wait of a feed call for changes.
-const MIN_FEED_WAIT: Duration = Duration::from_millis(1_000);
+/// Shortest wait of a feed call for changes, so that an idle watch makes few calls.
+const MIN_FEED_WAIT: Duration = Duration::from_millis(500);
 
 /// Time for the response to a feed call, beyond the call's wait.
 const FEED_RESPONSE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Time for reconnecting and reading the changes after a feed call timed out.
+/// Time after the timeout of a feed call for reconnecting, reading the changes and
+/// passing them on to peers.
 const FEED_RECOVERY_TIME: Duration = Duration::from_millis(800);
 
+/// Time for the store's response to a call that does not wait for changes.
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Retry delay after the first failed call.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Upper bound of the retry delay, which doubles with each failed call.
+/// Upper bound of the time from one failed call to the next call, which doubles with
+/// each failed call.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
 /// Limits within which a change of a table must be in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WatchLimits {
-    /// Time without disruption after which an instance must be up to date again.
+    /// Time after the end of a disruption at which an instance must be up to date again,
+    /// also if `apply` is shorter.
     pub reconnect: Duration,
     /// Time within which an acknowledged change must be in force.
     pub apply: Duration,
@@ -56,7 +64,7 @@
 #[derive(Clone, Debug)]
 pub struct StoreCalls {
     outage: Option<Outage>,
-    /// Delay after the next failed call.
+    /// Time from the start of the next call, if it fails, to the one after it.
     retry_delay: Duration,
 }
 
@@ -70,13 +78,20 @@
 }
 
 impl StoreCalls {
-    /// Returns the next feed call.
+    /// Returns the next feed call. During an outage it does not wait for changes: whether
+    /// it was lost is then known early.
     pub fn feed_call(&self, limits: WatchLimits) -> FeedCall {
-        let limit = limits.reconnect + limits.apply;
+        if self.outage.is_some() {
+            return FeedCall::without_wait();
+        }
+        let limit = limits.reconnect.max(limits.apply);
         let max_wait = limit
             .saturating_sub(FEED_RESPONSE_MARGIN + FEED_RECOVERY_TIME)
             .max(MIN_FEED_WAIT);
-        FeedCall::with_max_wait(max_wait)
+        FeedCall {
+            max_wait,
+            timeout: max_wait + FEED_RESPONSE_MARGIN,
+        }
     }
 
     /// Records a successful call. Returns the outage that it ends, if there was one.
@@ -97,25 +112,23 @@
         *outage
     }
 
-    /// Takes the delay until the next call after a failed one. `draw` is a random number
-    /// from 0 to 1, for a jitter of ±25 %.
+    /// Takes the delay from the latest failed call to the next one. The time that the call
+    /// took counts as part of the delay. `draw` is a random number from 0 to 1, for a
+    /// jitter of ±25 %.
     pub fn take_retry_delay(&mut self, draw: f64) -> Duration {
         let delay = self.retry_delay.mul_f64(0.75 + 0.5 * draw);
         self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
-        delay
+        let latest_call = self.outage.map_or(Duration::ZERO, |o| o.latest_call);
+        delay.saturating_sub(latest_call).max(MIN_RETRY_DELAY)
     }
 }
 
 impl FeedCall {
-    /// Returns a call that returns at once.
+    /// Returns a call that does not wait for changes.
     pub fn without_wait() -> Self {
-        Self::with_max_wait(Duration::ZERO)
-    }
-
-    fn with_max_wait(max_wait: Duration) -> Self {
         Self {
-            max_wait,
-            timeout: max_wait + FEED_RESPONSE_MARGIN,
+            max_wait: Duration::ZERO,
+            timeout: RESPONSE_TIMEOUT,
         }
     }
 }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -7,7 +7,7 @@
 use cyclamengauge_core::{
     ids::EngineId,
     serving::{
-        store_calls::{FeedCall, StoreCalls, WatchLimits},
+        store_calls::{self, FeedCall, StoreCalls, WatchLimits},
         target_list::{ListChanges, ListVersion},
         watchers::WatchState,
     },
@@ -29,9 +29,6 @@
 /// Interval between two checks whether the store responds again.
 const OUTAGE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time for the store's response to any other call.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Time after a store failure within which running targets write their entries
 /// again: the time in the platform's documentation and a margin.
 const ENTRY_RECOVERY_TIME: Duration = Duration::from_millis(2_200);
@@ -61,7 +58,10 @@
     let mut rows_read = None;
     loop {
         let table = store::Table::Instances;
-        match client.read_page(table, &mut rows_read, CALL_TIMEOUT).await {
+        match client
+            .read_page(table, &mut rows_read, store_calls::RESPONSE_TIMEOUT)
+            .await
+        {
             Ok(has_more) => {
                 if let Some(rows) = &rows_read {
                     add_peers(&gateway, rows);
@@ -85,7 +85,9 @@
     };
     let (key, value) = discovery::instance_row(&instance, address);
     let body = store::put_body(store::Table::Instances, &key, &value);
-    client.run_transaction(body, CALL_TIMEOUT).await
+    client
+        .run_transaction(body, store_calls::RESPONSE_TIMEOUT)
+        .await
 }
 
 fn add_peers(gateway: &Gateway, rows: &store::Rows) {
@@ -229,7 +231,10 @@
     rows_read: &mut Option<store::Rows>,
 ) -> anyhow::Result<Option<store::StoreVersion>> {
     let Some(since) = since else {
-        if client.read_page(table, rows_read, CALL_TIMEOUT).await? {
+        if client
+            .read_page(table, rows_read, store_calls::RESPONSE_TIMEOUT)
+            .await?
+        {
             return Ok(None);
         }
         let Some(rows) = rows_read.take() else {
