Log the shared parts of the prompts that ran when a target crashed

Cause: the logs of the crashing prompt parts have the digest of the whole content, so they can't show what the requests had in common. Change: the parts of a prompt that other prompts may share are decoded in the adapter and logged with target-crashed.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -91,7 +91,7 @@
     "target-unlisted" ["target", "linger_ms"] "an entry was removed from the target list";
     "target-entry-faulty" ["target", "cause"] "an entry of the target list is invalid";
     "target-suspect" ["target", "cause", "out_ms"] "a target is excluded for `out_ms`";
-    "target-crashed" ["request", "target", "cause"]
+    "target-crashed" ["request", "shared_parts", "target", "cause"]
         "the connection to a target was lost and a new one can't be opened";
     "store-lost" ["table", "cause"] "updates of a table of the store can't be read";
     "store-back" ["table", "lost_ms", "failed_calls", "latest_call_ms"]
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -21,6 +21,9 @@
     /// Name of a data centre.
     pub struct DataCentreId;
 
+    /// Id of a part of a prompt, the same in all prompts that share the part.
+    pub struct PromptPartId;
+
     /// Id of a plan: a digest of all inputs of the plan.
     pub struct PlanId;
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cyclamengauge_core::{
     clock::Instant,
-    ids::{AccountId, EngineId, ServiceId},
+    ids::{AccountId, EngineId, PromptPartId, ServiceId},
     request::Fingerprint,
     serving::{
         placement::{self, Placement},
@@ -66,6 +66,8 @@
     pub rank: Rank,
     /// Digest of path and query, account and body.
     pub fingerprint: Fingerprint,
+    /// Parts of the prompt that other prompts may share, in order.
+    pub shared_parts: Vec<PromptPartId>,
     /// Time of arrival at this instance.
     pub arrived_at: Instant,
     /// Time by which the client must have the complete response.
@@ -387,13 +389,14 @@
 pub fn suspect_crash(gateway: &Rc<Gateway>, request: &ClientRequest, in_flight: &InFlightGuard) {
     let gateway = Rc::clone(gateway);
     let (fingerprint, request_id) = (request.fingerprint, request.id.clone());
+    let shared_parts = request.shared_parts.clone();
     let (target, address) = (in_flight.target.clone(), in_flight.address);
     actix_rt::spawn(async move {
         let Err(err) = Connection::open(address, CRASH_PROBE_TIMEOUT).await else {
             return;
         };
         let now = gateway.clock.now();
-        process_events::log_target_crashed(&request_id, &target, &err);
+        process_events::log_target_crashed(&request_id, &shared_parts, &target, &err);
         let crash = SmolStr::new(format!("{target}/{request_id}"));
         gateway
             .crashes
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -224,6 +224,8 @@
     let last_event_id = header_text(request.headers(), headers::LAST_EVENT_ID);
     let service = route.draw_service(draw).clone();
     let stream = requested_stream(&route, request.headers());
+    let shared_parts = header_text(request.headers(), headers::PROMPT_PARTS);
+    let shared_parts = shared_parts.map(headers::parse_shared_parts);
     trace.add(TraceEvent::Received {
         route: route.name.clone(),
         service: service.clone(),
@@ -249,6 +251,7 @@
         route,
         account,
         fingerprint,
+        shared_parts: shared_parts.unwrap_or_default(),
         arrived_at,
         deadline,
     })
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -8,7 +8,7 @@
 
 use cyclamengauge_core::{
     clock::Instant,
-    ids::{EngineId, InstanceId},
+    ids::{EngineId, InstanceId, PromptPartId},
     serving::{store_calls::Outage, targets::TargetFacts, watchers::WatchState},
 };
 
@@ -124,11 +124,19 @@
 }
 
 /// Logs that a target broke off `request` and accepts no connections since, which
-/// counts as a crash.
-pub fn log_target_crashed(request: &str, target: &EngineId, cause: &anyhow::Error) {
+/// counts as a crash. `shared_parts` are the parts of the prompt that others may share.
+pub fn log_target_crashed(
+    request: &str,
+    shared_parts: &[PromptPartId],
+    target: &EngineId,
+    cause: &anyhow::Error,
+) {
+    let shared_parts = shared_parts.iter().map(PromptPartId::as_str);
+    let shared_parts = shared_parts.collect::<Vec<_>>().join(",");
     tracing::warn!(
         event = "target-crashed",
         request,
+        shared_parts,
         %target,
         cause = format!("{cause:#}"),
         "targets: {target} crashed while {request} ran: {cause:#}"
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -14,7 +14,7 @@
 use cyclamengauge_core::{
     clock,
     events::{self, EventKind},
-    ids::{AccountId, DataCentreId, EngineId, InstanceId, ServiceId},
+    ids::{AccountId, DataCentreId, EngineId, InstanceId, PromptPartId, ServiceId},
     serving::{store_calls::Outage, targets::TargetFacts, watchers::WatchState},
     text::SmolStr,
     units::Tokens,
@@ -221,7 +221,7 @@
         process_events::log_target_unlisted(&target_id(), TEST_DURATION);
         process_events::log_target_entry_faulty("t1", &err);
         process_events::log_target_suspect(&target_id(), "silent", TEST_DURATION);
-        process_events::log_target_crashed("r1", &target_id(), &err);
+        process_events::log_target_crashed("r1", &[PromptPartId::new("p1")], &target_id(), &err);
         process_events::log_store_lost(&"targets", &err);
         let outage = Outage {
             since: clock::Instant::ZERO,
