Refuse prompts with a part that crashes engines

What callers saw: requests of one kind kept crashing engines, up to 17 of 40 requests of a second failed and most others were late; 78 and 81 engines ended in two waves. Cause: crashes were counted by the digest of the whole content. Prompts that share one crashing part are never alike, so no count reached its limit. Change: instances count the engines that crash by the shared parts of the prompts, and exchange them. A part is refused, before placement and before each further attempt, if four engines crashed on it at different moments, no request with it has completed since, another one has, and no other part explains the crashes. A stream that ends with its connection is no proof, nor is a crash later than 2 s after the first event.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -93,6 +93,8 @@
     "target-suspect" ["target", "cause", "out_ms"] "a target is excluded for `out_ms`";
     "target-crashed" ["request", "shared_parts", "target", "cause"]
         "the connection to a target was lost and a new one can't be opened";
+    "part-refused" ["part", "source"]
+        "prompts with this part are refused, as it crashes engines; `source` reported the latest crash";
     "store-lost" ["table", "cause"] "updates of a table of the store can't be read";
     "store-back" ["table", "lost_ms", "failed_calls", "latest_call_ms"]
         "updates of the table can be read again; the latest of its failed calls took `latest_call_ms`";
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -13,7 +13,8 @@
 - [`queue`] orders long prompts across instances;
 - [`rate`] measures event rates;
 - [`retry_budget`] limits the retries of all instances;
-- [`crashes`] counts the engine crashes per request content.
+- [`crashes`] counts the engine crashes per request content;
+- [`prompt_parts`] finds the parts of prompts that crash engines.
 */
 
 pub mod cost;
@@ -21,6 +22,7 @@
 pub mod dissemination;
 pub mod peers;
 pub mod placement;
+pub mod prompt_parts;
 pub mod queue;
 pub mod rate;
 pub mod retry_budget;
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -7,6 +7,7 @@
 mod loads;
 mod peers;
 mod placement;
+mod prompt_parts;
 mod queue;
 mod retry_budget;
 mod routes;
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -186,6 +186,10 @@
     ) -> Result<Exchange, RequestError> {
         loop {
             let placement = self.place_or_queue(request).await?;
+            // Other requests may have shown this since the last attempt.
+            if self.gateway.has_refused_part(&request.shared_parts) {
+                return Err(self.refused_part_error(request));
+            }
             self.estimate = placement.estimate;
             self.is_long = placement.long;
             self.trace_placement(request, &placement);
@@ -250,6 +254,13 @@
         }
     }
 
+    /// Records that an engine wrote a stream to its end.
+    pub fn record_written_stream(&self, request: &ClientRequest) {
+        let now = self.gateway.clock.now();
+        let mut prompt_parts = self.gateway.prompt_parts.borrow_mut();
+        prompt_parts.record_completion(&request.shared_parts, now);
+    }
+
     /// Records that the client got a complete response, and whether it was on time.
     pub fn record_completion(&self, request: &ClientRequest) {
         let mut crashes = self.gateway.crashes.borrow_mut();
@@ -430,6 +441,13 @@
         })
     }
 
+    fn refused_part_error(&self, request: &ClientRequest) -> RequestError {
+        match self.may_have_executed {
+            true => self.final_error(request),
+            false => RequestError::Gateway(GatewayError::PartCrashesEngines),
+        }
+    }
+
     fn busy_error(&self, request: &ClientRequest, targets: &Targets) -> GatewayError {
         let slot_wait = targets.expected_slot_wait(&request.service);
         GatewayError::TargetsBusy(
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request: the HTTP exchange with one target.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use cyclamengauge_core::{
@@ -44,6 +44,10 @@
 /// accept the connection counts as crashed.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time after the first event of a stream in which an engine crashes if it crashes on the
+/// prompt.
+const CRASH_ONSET_TIME: Duration = Duration::from_secs(2);
+
 /// A client's request with its route, complete body and deadline.
 pub struct ClientRequest {
     /// Request id that the client chose; empty if there is none.
@@ -133,6 +137,8 @@
     pub address: SocketAddr,
     /// Whether other engines prefill parts of the prompt.
     has_helpers: bool,
+    /// Time of the first event of the stream.
+    first_event_at: Cell<Option<Instant>>,
     outcome: Outcome,
 }
 
@@ -149,12 +155,14 @@
             target: placement.target.clone(),
             address: placement.address,
             has_helpers: !placement.helpers.is_empty(),
+            first_event_at: Cell::new(None),
             outcome: Outcome::Unknown,
         }
     }
 
     /// Records the first event of the stream.
     pub fn record_first_event(&self) {
+        self.first_event_at.set(Some(self.gateway.clock.now()));
         self.gateway
             .targets
             .borrow_mut()
@@ -166,6 +174,14 @@
         }
     }
 
+    /// Whether a crash of the target may be due to this request: an engine crashes on a
+    /// prompt when it begins to write the answer.
+    fn may_have_caused_crash(&self) -> bool {
+        let now = self.gateway.clock.now();
+        let first_event_at = self.first_event_at.get();
+        first_event_at.is_none_or(|at| now - at <= CRASH_ONSET_TIME)
+    }
+
     /// Records that bytes arrived from the target.
     pub fn record_received(&self) {
         let now = self.gateway.clock.now();
@@ -389,7 +405,10 @@
 pub fn suspect_crash(gateway: &Rc<Gateway>, request: &ClientRequest, in_flight: &InFlightGuard) {
     let gateway = Rc::clone(gateway);
     let (fingerprint, request_id) = (request.fingerprint, request.id.clone());
-    let shared_parts = request.shared_parts.clone();
+    let shared_parts = match in_flight.may_have_caused_crash() {
+        true => request.shared_parts.clone(),
+        false => Vec::new(),
+    };
     let (target, address) = (in_flight.target.clone(), in_flight.address);
     actix_rt::spawn(async move {
         let Err(err) = Connection::open(address, CRASH_PROBE_TIMEOUT).await else {
@@ -402,6 +421,7 @@
             .crashes
             .borrow_mut()
             .record_crash(fingerprint, crash, now);
+        gateway.record_part_crash(&shared_parts, &target);
         let mut targets = gateway.targets.borrow_mut();
         let exclusion = targets.record_outcome(&target, Outcome::Silent, now);
         log_exclusion(&target, Outcome::Silent, exclusion);
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -4,10 +4,11 @@
 
 use cyclamengauge_core::{
     clock::Instant,
-    ids::EngineId,
+    ids::{EngineId, PromptPartId},
     request::Fingerprint,
     serving::{
         dissemination::DueMessage,
+        prompt_parts::{EngineCrash, PartReport},
         queue::QueuedPrompt,
         targets::{Load, LoadReport},
         watchers::WatchState,
@@ -22,6 +23,10 @@
 /// Maximum age of the latest crash of a content in gossip messages.
 const MAX_REPORTED_CRASH_AGE: Duration = Duration::from_secs(60);
 
+/// Maximum age of the latest crash or completion of a prompt part in messages with
+/// changes, so that peers learn of it before the next complete state.
+const MAX_REPORTED_PART_AGE: Duration = Duration::from_millis(200);
+
 /// Builds a gossip message with this instance's loads, queued long prompts,
 /// leaving targets, recent crashes and versions. A message with changes has only the
 /// loads that changed since the last one.
@@ -45,6 +50,11 @@
     let queued_prompts = gateway.queue.borrow().local_prompts(now);
     let leaving = targets.leaving(now);
     let crashes = gateway.crashes.borrow().recent(MAX_REPORTED_CRASH_AGE, now);
+    let prompt_parts = gateway.prompt_parts.borrow();
+    let parts = match message {
+        DueMessage::Changes => prompt_parts.recent_reports(MAX_REPORTED_PART_AGE, now),
+        DueMessage::CompleteState => prompt_parts.reports(now),
+    };
     v1::Gossip {
         instance: settings.instance.to_string(),
         incarnation: gateway.incarnation,
@@ -64,6 +74,7 @@
             .last_store_success_at
             .get()
             .map(|at| (now - at).as_millis() as u32),
+        part_crashes: parts.iter().map(|part| encode_part(part, now)).collect(),
     }
 }
 
@@ -150,6 +161,40 @@
     }
 }
 
+fn encode_part(report: &PartReport, now: Instant) -> v1::PartCrashes {
+    let age_ms = |at: Instant| (now - at).as_millis() as u64;
+    let crashes = report.crashes.iter().map(|crash| v1::EngineCrash {
+        engine: crash.engine.to_string(),
+        age_ms: age_ms(crash.at),
+    });
+    v1::PartCrashes {
+        part: report.part.to_string(),
+        position: report.position,
+        crashes: crashes.collect(),
+        completion_age_ms: report.completed_at.map(age_ms),
+        has_other_completed: report.has_other_completed,
+    }
+}
+
+/// Decodes what a peer knows of a part of prompts.
+pub(super) fn decode_part(part: &v1::PartCrashes, now: Instant) -> PartReport {
+    let at = |age_ms| {
+        let age = Duration::from_millis(age_ms);
+        Instant::from_start(now.since_start().saturating_sub(age))
+    };
+    let crashes = part.crashes.iter().map(|crash| EngineCrash {
+        engine: EngineId::new(&crash.engine),
+        at: at(crash.age_ms),
+    });
+    PartReport {
+        part: PromptPartId::new(&part.part),
+        position: part.position,
+        crashes: crashes.collect(),
+        completed_at: part.completion_age_ms.map(at),
+        has_other_completed: part.has_other_completed,
+    }
+}
+
 fn encode_crashes((content, crash_ids): (Fingerprint, Vec<SmolStr>)) -> v1::ContentCrashes {
     v1::ContentCrashes {
         fingerprint: content.0.to_vec(),
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -221,6 +221,7 @@
     for content in &gossip.crashes {
         record_crashes(gateway, content, now);
     }
+    record_parts(gateway, gossip, now);
     let watch_state = record_watch_state(gateway, &instance, gossip, now);
     let peer = fetch::Peer {
         address,
@@ -262,6 +263,17 @@
     state
 }
 
+fn record_parts(gateway: &Gateway, gossip: &v1::Gossip, now: Instant) {
+    let reports = gossip.part_crashes.iter();
+    let reports: Vec<_> = reports
+        .map(|part| messages::decode_part(part, now))
+        .collect();
+    let mut prompt_parts = gateway.prompt_parts.borrow_mut();
+    for part in prompt_parts.merge_reports(&reports, now) {
+        process_events::log_part_refused(&part, &gossip.instance);
+    }
+}
+
 fn record_crashes(gateway: &Gateway, content: &v1::ContentCrashes, now: Instant) {
     let Ok(digest) = <[u8; 16]>::try_from(&content.fingerprint[..]) else {
         let err = anyhow::anyhow!(
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -34,11 +34,12 @@
 use bytes::Bytes;
 use cyclamengauge_core::{
     clock::Instant,
-    ids::ServiceId,
+    ids::{EngineId, PromptPartId, ServiceId},
     serving::{
         crashes::Crashes,
         dissemination::Schedule,
         peers::{self, Peers},
+        prompt_parts::PromptParts,
         queue::Queue,
         rate,
         retry_budget::{RetryBudget, RetryLimits},
@@ -105,6 +106,7 @@
     queue: RefCell<Queue>,
     retry_budget: RefCell<RetryBudget>,
     crashes: RefCell<Crashes>,
+    prompt_parts: RefCell<PromptParts>,
     rng: RefCell<fastrand::Rng>,
     peers: RefCell<Peers>,
     /// Fetches from peers that are scheduled or in progress.
@@ -160,6 +162,7 @@
             queue: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             crashes: RefCell::default(),
+            prompt_parts: RefCell::default(),
             rng: RefCell::new(fastrand::Rng::with_seed(incarnation)),
             peers: RefCell::new(peers),
             peer_fetches: gossip::FetchesInProgress::default(),
@@ -278,6 +281,22 @@
         Some(self.clock.now() - last_success_at)
     }
 
+    /// Records that a target crashed while a prompt with `shared_parts` ran on it.
+    fn record_part_crash(&self, shared_parts: &[PromptPartId], target: &EngineId) {
+        let now = self.clock.now();
+        let mut prompt_parts = self.prompt_parts.borrow_mut();
+        for part in prompt_parts.record_crash(shared_parts, target, now) {
+            let own = self.settings.borrow().instance.to_string();
+            process_events::log_part_refused(&part, &own);
+        }
+    }
+
+    /// Whether a prompt has a part that crashes engines.
+    fn has_refused_part(&self, shared_parts: &[PromptPartId]) -> bool {
+        let prompt_parts = self.prompt_parts.borrow();
+        prompt_parts.find_refused(shared_parts).is_some()
+    }
+
     /// Retries of a service's requests that the retry budget still allows this
     /// instance.
     fn retries_left(&self, service: &ServiceId) -> u64 {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -9,7 +9,10 @@
 
 use bytes::{Bytes, BytesMut};
 use cyclamengauge_core::serving::targets::Outcome;
-use http::HeaderValue;
+use http::{
+    HeaderValue,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use http_body_util::BodyExt;
 
 use crate::{
@@ -92,6 +95,13 @@
         parts
     }
 
+    /// Whether the end of the body is marked by its framing. A body that ends with its
+    /// connection may also have been cut off by a crash.
+    pub fn has_marked_end(&self) -> bool {
+        let map = self.exchange.response.headers();
+        map.contains_key(TRANSFER_ENCODING) || map.contains_key(CONTENT_LENGTH)
+    }
+
     /// Returns the next complete events, without those up to the id `after`; `None`
     /// at the end of the stream.
     ///
@@ -244,6 +254,9 @@
                 }
                 Ok(None) => {
                     self.events.set_outcome(Outcome::Served);
+                    if self.events.has_marked_end() {
+                        self.attempts.record_written_stream(&self.request);
+                    }
                     self.attempts.record_completion(&self.request);
                     return Ok(None);
                 }
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -220,12 +220,16 @@
     {
         return Err(GatewayError::ContentCrashesEngines);
     }
+    let shared_parts = header_text(request.headers(), headers::PROMPT_PARTS);
+    let shared_parts = shared_parts.map(headers::parse_shared_parts);
+    let shared_parts = shared_parts.unwrap_or_default();
+    if gateway.has_refused_part(&shared_parts) {
+        return Err(GatewayError::PartCrashesEngines);
+    }
     let draw = gateway.rng.borrow_mut().f64();
     let last_event_id = header_text(request.headers(), headers::LAST_EVENT_ID);
     let service = route.draw_service(draw).clone();
     let stream = requested_stream(&route, request.headers());
-    let shared_parts = header_text(request.headers(), headers::PROMPT_PARTS);
-    let shared_parts = shared_parts.map(headers::parse_shared_parts);
     trace.add(TraceEvent::Received {
         route: route.name.clone(),
         service: service.clone(),
@@ -251,7 +255,7 @@
         route,
         account,
         fingerprint,
-        shared_parts: shared_parts.unwrap_or_default(),
+        shared_parts,
         arrived_at,
         deadline,
     })
--- a/crates/daemon/src/gateway/responses.rs
+++ b/crates/daemon/src/gateway/responses.rs
@@ -43,6 +43,8 @@
     BodyTooLarge,
     /// The request content has crashed engines before.
     ContentCrashesEngines,
+    /// A part of the prompt has crashed engines before.
+    PartCrashesEngines,
     /// No target of the service is usable.
     NoTarget,
     /// The targets have no free slot or memory, or could not be reached. Holds the
@@ -72,6 +74,7 @@
             Self::BadRequest => "bad-request",
             Self::BodyTooLarge => "body-too-large",
             Self::ContentCrashesEngines => "content-crashes-engines",
+            Self::PartCrashesEngines => "prompt-part-crashes-engines",
             Self::NoTarget => "no-target",
             Self::TargetsBusy(_) => "targets-busy",
             Self::Overloaded(_) => "overloaded",
@@ -94,6 +97,7 @@
             Self::NotConfigured
             | Self::StaleConfiguration
             | Self::ContentCrashesEngines
+            | Self::PartCrashesEngines
             | Self::NoTarget
             | Self::TargetsBusy(_)
             | Self::Overloaded(_)
@@ -112,7 +116,9 @@
             Self::TargetsBusy(wait) | Self::Overloaded(wait) => Some(wait),
             // Typical restart time of a target.
             Self::NoTarget => Some(Duration::from_millis(1_000)),
-            Self::ContentCrashesEngines | Self::PromptTooLong => Some(Duration::from_secs(600)),
+            Self::ContentCrashesEngines | Self::PartCrashesEngines | Self::PromptTooLong => {
+                Some(Duration::from_secs(600))
+            }
             Self::NoRoute
             | Self::WrongKey
             | Self::BadRequest
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -143,6 +143,17 @@
     );
 }
 
+/// Logs that prompts with a part are refused because it crashes engines; the latest
+/// crash was reported by the instance `source`.
+pub fn log_part_refused(part: &PromptPartId, source: &str) {
+    tracing::warn!(
+        event = "part-refused",
+        %part,
+        source,
+        "request: refusing prompts with part {part}, which crashes engines"
+    );
+}
+
 /// Logs that reading the changes of a table of the store failed.
 pub fn log_store_lost(table: &dyn fmt::Debug, cause: &anyhow::Error) {
     tracing::warn!(
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -223,6 +223,7 @@
         process_events::log_target_suspect(&target_id(), "silent", TEST_DURATION);
         process_events::log_target_crashed("r1", &[PromptPartId::new("p1")], &target_id(), &err);
         process_events::log_store_lost(&"targets", &err);
+        process_events::log_part_refused(&PromptPartId::new("p1"), "a");
         let outage = Outage {
             since: clock::Instant::ZERO,
             failed_calls: 3,
