--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -52,7 +52,7 @@
     metrics::gauge!("cyclamengauge_peers").set(f64::from(gateway.instance_count() - 1));
     let is_watching = watch::watch_state(gateway) == WatchState::Watching;
     metrics::gauge!("cyclamengauge_watching").set(f64::from(u8::from(is_watching)));
-    let refused_parts = gateway.prompt_parts.borrow().refused_count() as f64;
+    let refused_parts = gateway.refused_parts() as f64;
     metrics::gauge!("cyclamengauge_refused_parts").set(refused_parts);
     metrics::gauge!("cyclamengauge_requests_in_progress")
         .set(gateway.requests_in_progress.get() as f64);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -291,6 +291,11 @@
         }
     }
 
+    /// Number of parts of prompts that are refused because they crash engines.
+    pub fn refused_parts(&self) -> usize {
+        self.prompt_parts.borrow().refused_count()
+    }
+
     /// Whether a prompt has a part that crashes engines.
     fn has_refused_part(&self, shared_parts: &[PromptPartId]) -> bool {
         let prompt_parts = self.prompt_parts.borrow();
