Keep the refused parts of prompts in the platform's store

What callers would see: after the loss of all instances during a wave of prompts with a crashing part, engines crash again until four of them have. Cause: which parts are refused was known to living instances only. Change: an instance that has seen a crash of a part that becomes refused writes a row for it, and one that sees a completion marks the row; each instance reads the rows at its start and refuses a part for the rest of its 10 minutes. Logged as part-allowed and refused-parts-failed.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -95,6 +95,10 @@
         "the connection to a target was lost and a new one can't be opened";
     "part-refused" ["part", "source"]
         "prompts with this part are refused, as it crashes engines; `source` reported the latest crash";
+    "part-allowed" ["part", "source"]
+        "prompts with this part are no longer refused; `source` reported that one was served";
+    "refused-parts-failed" ["step", "cause"]
+        "the store's rows of refused parts could not be read, decoded or written";
     "store-lost" ["table", "cause"] "updates of a table of the store can't be read";
     "store-back" ["table", "lost_ms", "failed_calls", "latest_call_ms"]
         "updates of the table can be read again; the latest of its failed calls took `latest_call_ms`";
--- a/crates/core/src/serving/prompt_parts.rs
+++ b/crates/core/src/serving/prompt_parts.rs
@@ -25,7 +25,7 @@
 
 /// Time after the latest crash for which a part is refused. It exceeds the time over which
 /// clients retry.
-const CRASH_RETENTION: Duration = Duration::from_secs(600);
+pub const CRASH_RETENTION: Duration = Duration::from_secs(600);
 
 /// Time after a crash or a completion in which a suspect part is reported to the peers.
 const REPORT_SPAN: Duration = Duration::from_secs(10);
@@ -60,6 +60,15 @@
     }
 }
 
+/// Parts whose refusal began or ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RefusalChanges {
+    /// Parts that are refused from now on.
+    pub refused: Vec<PromptPartId>,
+    /// Parts that are no longer refused.
+    pub allowed: Vec<PromptPartId>,
+}
+
 /// A part that was in a prompt on an engine that crashed.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
@@ -72,6 +81,8 @@
     completions_before: u64,
     /// Whether a peer has reported a later completion without the part.
     has_other_completed_at_peer: bool,
+    /// Whether one of the crashes was seen at this instance.
+    has_crashed_here: bool,
     /// Time of the latest crash or completion.
     changed_at: Instant,
 }
@@ -99,6 +110,8 @@
     suspects: BTreeMap<PromptPartId, Suspect>,
     /// Latest completion of a request with the part.
     completed_at: BTreeMap<PromptPartId, Instant>,
+    /// Parts that were refused before the start of this process, and until when they are.
+    restored: BTreeMap<PromptPartId, Instant>,
     /// Parts that are refused.
     refused: BTreeSet<PromptPartId>,
     /// Requests that have completed at this instance.
@@ -106,17 +119,17 @@
 }
 
 impl PromptParts {
-    /// Records that an engine crashed while a request with `parts` ran. Returns the parts
-    /// that are refused from now on.
+    /// Records that an engine crashed while a request with `parts` ran.
     pub fn record_crash(
         &mut self,
         parts: &[PromptPartId],
         engine: &EngineId,
         now: Instant,
-    ) -> Vec<PromptPartId> {
+    ) -> RefusalChanges {
         for (position, part) in parts.iter().enumerate() {
             let suspect = self.suspect(part, position as u32);
             suspect.crashes.entry(engine.clone()).or_insert(now);
+            suspect.has_crashed_here = true;
             suspect.changed_at = now;
         }
         self.evict();
@@ -125,19 +138,19 @@
 
     /// Records that the answer to a request with `parts` was written to its end. None of
     /// them crashes engines.
-    pub fn record_completion(&mut self, parts: &[PromptPartId], now: Instant) {
+    pub fn record_completion(&mut self, parts: &[PromptPartId], now: Instant) -> RefusalChanges {
         self.completions += 1;
         for part in parts {
             self.clear_crashes(part, now);
         }
         self.evict();
-        self.update_refused(now);
+        self.update_refused(now)
     }
 
-    /// Applies what a peer knows. Returns the parts that are refused from now on.
-    pub fn merge_reports(&mut self, reports: &[PartReport], now: Instant) -> Vec<PromptPartId> {
+    /// Applies what a peer knows.
+    pub fn merge_reports(&mut self, reports: &[PartReport], now: Instant) -> RefusalChanges {
         if reports.is_empty() {
-            return Vec::new();
+            return RefusalChanges::default();
         }
         for report in reports {
             self.merge_report(report);
@@ -168,6 +181,18 @@
         suspect.has_other_completed_at_peer |= report.has_other_completed;
     }
 
+    /// Refuses a part until `until` that was refused before the start of this process.
+    pub fn restore(&mut self, part: PromptPartId, until: Instant) {
+        self.refused.insert(part.clone());
+        self.restored.insert(part, until);
+    }
+
+    /// Whether this instance has seen a crash of an engine on the part.
+    pub fn has_crashed_here(&self, part: &PromptPartId) -> bool {
+        let suspect = self.suspects.get(part);
+        suspect.is_some_and(|suspect| suspect.has_crashed_here)
+    }
+
     /// The first of `parts` that is refused.
     pub fn find_refused<'a>(&self, parts: &'a [PromptPartId]) -> Option<&'a PromptPartId> {
         parts.iter().find(|part| self.refused.contains(*part))
@@ -222,6 +247,7 @@
         if suspect.crashes.is_empty() {
             suspect.completions_before = completions;
             suspect.has_other_completed_at_peer = false;
+            suspect.has_crashed_here = false;
         }
         suspect.position = position;
         suspect
@@ -233,6 +259,7 @@
             return;
         }
         self.completed_at.insert(part.clone(), completed_at);
+        self.restored.remove(part);
         if let Some(suspect) = self.suspects.get_mut(part) {
             suspect.crashes.retain(|_, at| *at > completed_at);
             suspect.changed_at = suspect.changed_at.max(completed_at);
@@ -243,7 +270,7 @@
     /// request comes before others, and then one whose latest completion is earlier, one
     /// with more crashes, and one later in the prompt, as prompts that begin alike differ
     /// there. Crashes that a part explains don't count for the parts after it.
-    fn update_refused(&mut self, now: Instant) -> Vec<PromptPartId> {
+    fn update_refused(&mut self, now: Instant) -> RefusalChanges {
         let suspects = self.suspects.iter();
         let candidates = suspects.filter(|(_, suspect)| {
             suspect.crashes.len() >= MAX_CRASHED_ENGINES
@@ -256,7 +283,8 @@
             let most_first = std::cmp::Reverse((suspect.crashes.len(), suspect.position));
             (completed_at, most_first)
         });
-        let mut refused = BTreeSet::new();
+        self.restored.retain(|_, until| now < *until);
+        let mut refused: BTreeSet<PromptPartId> = self.restored.keys().cloned().collect();
         let mut explained: BTreeSet<&EngineId> = BTreeSet::new();
         for (part, suspect) in candidates {
             let crashes = suspect.crashes.iter().map(|(engine, at)| (engine, *at));
@@ -267,9 +295,12 @@
                 refused.insert(part.clone());
             }
         }
-        let new = refused.difference(&self.refused).cloned().collect();
+        let changes = RefusalChanges {
+            refused: refused.difference(&self.refused).cloned().collect(),
+            allowed: self.refused.difference(&refused).cloned().collect(),
+        };
         self.refused = refused;
-        new
+        changes
     }
 
     /// Drops the half of the parts that changed least recently once there are too many.
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -256,9 +256,7 @@
 
     /// Records that an engine wrote a stream to its end.
     pub fn record_written_stream(&self, request: &ClientRequest) {
-        let now = self.gateway.clock.now();
-        let mut prompt_parts = self.gateway.prompt_parts.borrow_mut();
-        prompt_parts.record_completion(&request.shared_parts, now);
+        self.gateway.record_part_completion(&request.shared_parts);
     }
 
     /// Records that the client got a complete response, and whether it was on time.
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -29,7 +29,10 @@
 use cyclamengauge_schema::v1;
 use prost::Message;
 
-use crate::{gateway::Gateway, telemetry::process_events};
+use crate::{
+    gateway::{Gateway, refused_parts},
+    telemetry::process_events,
+};
 
 pub use fetch::{FetchesInProgress, handle_fetch};
 
@@ -263,15 +266,16 @@
     state
 }
 
-fn record_parts(gateway: &Gateway, gossip: &v1::Gossip, now: Instant) {
+fn record_parts(gateway: &Rc<Gateway>, gossip: &v1::Gossip, now: Instant) {
     let reports = gossip.part_crashes.iter();
     let reports: Vec<_> = reports
         .map(|part| messages::decode_part(part, now))
         .collect();
-    let mut prompt_parts = gateway.prompt_parts.borrow_mut();
-    for part in prompt_parts.merge_reports(&reports, now) {
-        process_events::log_part_refused(&part, &gossip.instance);
-    }
+    let changes = gateway
+        .prompt_parts
+        .borrow_mut()
+        .merge_reports(&reports, now);
+    refused_parts::record_changes(gateway, changes, &gossip.instance);
 }
 
 fn record_crashes(gateway: &Gateway, content: &v1::ContentCrashes, now: Instant) {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 - `watch`: the configuration and the target list, from the platform's store or from
   peers that watch it;
 - `gossip`: exchange of loads, crashes and versions between instances;
+- `refused_parts`: parts of prompts that crash engines, in the platform's store;
 - `upstream`, `store`: outgoing connections and the store client.
 */
 
@@ -15,6 +16,7 @@
 mod exchange;
 mod gauges;
 mod gossip;
+mod refused_parts;
 mod relay;
 mod requests;
 mod reservations;
@@ -282,13 +284,25 @@
     }
 
     /// Records that a target crashed while a prompt with `shared_parts` ran on it.
-    fn record_part_crash(&self, shared_parts: &[PromptPartId], target: &EngineId) {
+    fn record_part_crash(self: &Rc<Self>, shared_parts: &[PromptPartId], target: &EngineId) {
         let now = self.clock.now();
-        let mut prompt_parts = self.prompt_parts.borrow_mut();
-        for part in prompt_parts.record_crash(shared_parts, target, now) {
-            let own = self.settings.borrow().instance.to_string();
-            process_events::log_part_refused(&part, &own);
-        }
+        let changes = self
+            .prompt_parts
+            .borrow_mut()
+            .record_crash(shared_parts, target, now);
+        let own = self.settings.borrow().instance.to_string();
+        refused_parts::record_changes(self, changes, &own);
+    }
+
+    /// Records that an engine wrote the answer to a prompt with `shared_parts` to its end.
+    fn record_part_completion(self: &Rc<Self>, shared_parts: &[PromptPartId]) {
+        let now = self.clock.now();
+        let changes = self
+            .prompt_parts
+            .borrow_mut()
+            .record_completion(shared_parts, now);
+        let own = self.settings.borrow().instance.to_string();
+        refused_parts::record_changes(self, changes, &own);
     }
 
     /// Number of parts of prompts that are refused because they crash engines.
--- /dev/null
+++ b/crates/daemon/src/gateway/refused_parts.rs
@@ -0,0 +1,97 @@
+//! Rows in the platform's store of the prompt parts that are refused, so that they
+//! survive the loss of all instances.
+
+use std::{rc::Rc, time::Duration};
+
+use cyclamengauge_core::{
+    ids::PromptPartId,
+    serving::{
+        prompt_parts::{CRASH_RETENTION, RefusalChanges},
+        store_calls::{self, StoreCalls},
+    },
+};
+use cyclamengauge_platform::{discovery, store};
+
+use crate::{
+    gateway::{Gateway, store::StoreClient, watch},
+    node,
+    telemetry::process_events,
+};
+
+/// Number of calls after which a row that can't be written is given up: the peers know of
+/// the part, and write the row, too, if they saw a crash.
+const MAX_WRITE_CALLS: u32 = 20;
+
+/// Reads the refused parts at the start of the process. Failed calls are retried.
+pub async fn load(gateway: Rc<Gateway>) {
+    let mut client = StoreClient::new(gateway.settings.borrow().store_address);
+    let mut calls = StoreCalls::default();
+    let mut rows_read = None;
+    loop {
+        let page = client.read_page(
+            store::Table::RefusedParts,
+            &mut rows_read,
+            store_calls::RESPONSE_TIMEOUT,
+        );
+        match page.await {
+            Ok(true) => {}
+            Ok(false) => break,
+            Err(err) => {
+                process_events::log_refused_parts_failed("read", &err);
+                watch::back_off(&gateway, &mut calls).await;
+            }
+        }
+    }
+    for row in rows_read.into_iter().flat_map(|rows| rows.rows) {
+        let Some(value) = row.value else { continue };
+        match discovery::decode_refused_part(&row.key, &value) {
+            Ok((part, refused_at_unix_ms)) => restore(&gateway, part, refused_at_unix_ms),
+            Err(err) => process_events::log_refused_parts_failed("decode", &err),
+        }
+    }
+}
+
+fn restore(gateway: &Gateway, part: PromptPartId, refused_at_unix_ms: u64) {
+    let age = Duration::from_millis(node::unix_ms().saturating_sub(refused_at_unix_ms));
+    let remaining = CRASH_RETENTION.saturating_sub(age);
+    if remaining.is_zero() {
+        return;
+    }
+    process_events::log_part_refused(&part, "the store");
+    let until = gateway.clock.now() + remaining;
+    gateway.prompt_parts.borrow_mut().restore(part, until);
+}
+
+/// Logs which parts are refused or allowed from now on, and writes their rows if this
+/// instance has seen the crash or the completion. `source` reported it.
+pub fn record_changes(gateway: &Rc<Gateway>, changes: RefusalChanges, source: &str) {
+    let own = gateway.settings.borrow().instance.to_string();
+    for part in changes.refused {
+        process_events::log_part_refused(&part, source);
+        if gateway.prompt_parts.borrow().has_crashed_here(&part) {
+            write_row(gateway, part, node::unix_ms());
+        }
+    }
+    for part in changes.allowed {
+        process_events::log_part_allowed(&part, source);
+        if source == own {
+            write_row(gateway, part, 0);
+        }
+    }
+}
+
+fn write_row(gateway: &Rc<Gateway>, part: PromptPartId, refused_at_unix_ms: u64) {
+    let gateway = Rc::clone(gateway);
+    let (key, value) = discovery::refused_part_row(&part, refused_at_unix_ms);
+    actix_rt::spawn(async move {
+        let mut client = StoreClient::new(gateway.settings.borrow().store_address);
+        let mut calls = StoreCalls::default();
+        for _ in 0..MAX_WRITE_CALLS {
+            let body = store::put_body(store::Table::RefusedParts, &key, &value);
+            let written = client.run_transaction(body, store_calls::RESPONSE_TIMEOUT);
+            let Err(err) = written.await else { return };
+            process_events::log_refused_parts_failed("write", &err);
+            watch::back_off(&gateway, &mut calls).await;
+        }
+    });
+}
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -9,7 +9,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
-    gateway::{self, Gateway, gauges, gossip, watch},
+    gateway::{self, Gateway, gauges, gossip, refused_parts, watch},
     http, node,
     telemetry::{self, process_events},
 };
@@ -141,6 +141,7 @@
     actix_rt::spawn(watch::watch_configuration(Rc::clone(gateway)));
     actix_rt::spawn(watch::watch_targets(Rc::clone(gateway)));
     actix_rt::spawn(watch::announce_and_find_peers(Rc::clone(gateway)));
+    actix_rt::spawn(refused_parts::load(Rc::clone(gateway)));
     actix_rt::spawn(log_placements(Rc::clone(gateway)));
     actix_rt::spawn(gossip::send_messages(
         Rc::clone(gateway),
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -154,7 +154,9 @@
 fn set_state(gateway: &Gateway, table: store::Table, state: TableWatch) {
     let watch = match table {
         store::Table::Targets => &gateway.target_list_watch,
-        store::Table::Operators | store::Table::Instances => &gateway.configuration_watch,
+        store::Table::Operators | store::Table::Instances | store::Table::RefusedParts => {
+            &gateway.configuration_watch
+        }
     };
     let before = watch_state(gateway);
     watch.set(state);
@@ -248,7 +250,7 @@
     let list_version = store::StoreVersion(gateway.target_list.borrow().version().0);
     let since = match table {
         store::Table::Targets => since.max(list_version),
-        store::Table::Operators | store::Table::Instances => since,
+        store::Table::Operators | store::Table::Instances | store::Table::RefusedParts => since,
     };
     let changes = client.wait_for_changes(table, since, feed).await?;
     let Some(rows) = changes else {
@@ -282,7 +284,7 @@
             };
             apply_target_list(gateway, changes, STORE_SOURCE);
         }
-        store::Table::Instances => {}
+        store::Table::Instances | store::Table::RefusedParts => {}
     }
 }
 
@@ -344,7 +346,7 @@
     }
 }
 
-async fn back_off(gateway: &Gateway, calls: &mut StoreCalls) {
+pub async fn back_off(gateway: &Gateway, calls: &mut StoreCalls) {
     let draw = gateway.rng.borrow_mut().f64();
     actix_rt::time::sleep(calls.take_retry_delay(draw)).await;
 }
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -154,6 +154,28 @@
     );
 }
 
+/// Logs that prompts with a part are no longer refused; the instance `source` reported the
+/// completion of one that was sent before.
+pub fn log_part_allowed(part: &PromptPartId, source: &str) {
+    tracing::info!(
+        event = "part-allowed",
+        %part,
+        source,
+        "request: prompts with part {part} are no longer refused"
+    );
+}
+
+/// Logs that the store's rows of refused parts could not be read, decoded or written, as
+/// `step` says.
+pub fn log_refused_parts_failed(step: &str, cause: &anyhow::Error) {
+    tracing::warn!(
+        event = "refused-parts-failed",
+        step,
+        cause = format!("{cause:#}"),
+        "platform: {step} refused prompt parts: {cause:#}"
+    );
+}
+
 /// Logs that reading the changes of a table of the store failed.
 pub fn log_store_lost(table: &dyn fmt::Debug, cause: &anyhow::Error) {
     tracing::warn!(
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -224,6 +224,8 @@
         process_events::log_target_crashed("r1", &[PromptPartId::new("p1")], &target_id(), &err);
         process_events::log_store_lost(&"targets", &err);
         process_events::log_part_refused(&PromptPartId::new("p1"), "a");
+        process_events::log_part_allowed(&PromptPartId::new("p1"), "a");
+        process_events::log_refused_parts_failed("read", &err);
         let outage = Outage {
             since: clock::Instant::ZERO,
             failed_calls: 3,
