Suspect a crash where a stream ends only with its connection

What callers would see: an empty 200 from an engine that crashed before the first event, and engines that go on to crash on a part of prompts. Cause: an answer without a length and without chunks ends with its connection, and so does one whose engine crashed between two events; both were taken for complete. Change: after such an end the engine is probed, and a refused connection counts as a crash; such a stream without any event is broken off, unless the client resumes one.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -34,6 +34,8 @@
 pub enum StreamError {
     /// The connection broke or the response is malformed.
     Connection(anyhow::Error),
+    /// The connection ended before the first event, without an end of the body.
+    EndedBeforeFirstEvent,
     /// The deadline passed, or the engine was silent for too long.
     Timeout(WaitError),
 }
@@ -49,6 +51,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connection(err) => write!(f, "{err:#}"),
+            Self::EndedBeforeFirstEvent => {
+                f.write_str("the connection ended before the first event of the stream")
+            }
             Self::Timeout(late) => late.fmt(f),
         }
     }
@@ -254,8 +259,13 @@
                 }
                 Ok(None) => {
                     self.events.set_outcome(Outcome::Served);
-                    if self.events.has_marked_end() {
-                        self.attempts.record_written_stream(&self.request);
+                    match self.events.has_marked_end() {
+                        true => self.attempts.record_written_stream(&self.request),
+                        false => exchange::suspect_crash(
+                            &self.attempts.gateway,
+                            &self.request,
+                            self.events.in_flight(),
+                        ),
                     }
                     self.attempts.record_completion(&self.request);
                     return Ok(None);
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -28,7 +28,7 @@
         Gateway,
         attempts::{Attempts, InProgressGuard, RequestError},
         exchange::{self, ClientRequest},
-        relay::{EventReader, Relay},
+        relay::{EventReader, Relay, StreamError},
         response_timeouts::ResponseTimeouts,
         responses::{self, GatewayError},
     },
@@ -133,10 +133,10 @@
         }
         let mut events = EventReader::new(exchange);
         let response_timeouts = ResponseTimeouts::for_first_event(&request, &attempts);
-        match events
+        let first = events
             .next_with_timeout(gateway, &request, response_timeouts, after)
-            .await
-        {
+            .await;
+        match first {
             Ok(Some(first)) => {
                 events.in_flight().record_first_event();
                 attempts.record_first_event(&request);
@@ -145,12 +145,14 @@
                 let relay = Relay::new(request, attempts, events, &first, in_progress);
                 return Ok(responses::with_head(&head, relay_body(bytes, relay)));
             }
-            Ok(None) => {
+            // A client that resumes may have had all events.
+            Ok(None) if events.has_marked_end() || after.is_some() => {
                 events.set_outcome(Outcome::Served);
                 attempts.record_completion(&request);
                 return Ok(responses::with_head(&events.head(), BoxBody::new(())));
             }
-            Err(broken) => {
+            Ok(None) | Err(_) => {
+                let broken = first.err().unwrap_or(StreamError::EndedBeforeFirstEvent);
                 request.trace.add(TraceEvent::AttemptFailed {
                     target: target.clone(),
                     failure: "broke off",
