--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -82,7 +82,14 @@
             3 => send_signal(testbed, daemon, Signal::SIGCONT),
             4 => send_signal(testbed, daemon, Signal::SIGHUP),
             5 => testbed.store.set_mode(StoreMode::Refusing),
-            6 => testbed.store.set_mode(StoreMode::Silent),
+            6 => {
+                let is_lost = testbed.rng.borrow_mut().bool();
+                let mode = match is_lost {
+                    true => StoreMode::Losing,
+                    false => StoreMode::Silent,
+                };
+                testbed.store.set_mode(mode);
+            }
             7 => testbed.store.set_mode(StoreMode::Serving),
             8..11 => {
                 let mut rng = testbed.rng.borrow_mut();
