Log the shared parts of a prompt with the request

Cause: a refusal because of a part left no line that says which of the refused parts the prompt has. Change: received has shared_parts, and comes before that refusal. Result: log_lines 9 passed.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -55,7 +55,8 @@
 /// Events of one request. The daemon buffers them until the request ends.
 pub const REQUEST_EVENTS: &[EventKind] = event_kinds! {
     "received" [
-        "request", "at_unix_ms", "route", "service", "account", "content", "prompt_tokens",
+        "request", "at_unix_ms", "route", "service", "account", "content", "shared_parts",
+        "prompt_tokens",
         "left_ms", "configuration_version", "configuration_age_ms"
     ] "route and account are resolved and the body is complete";
     "queued" ["request", "at_unix_ms", "wait_ms", "latest_ms", "peers"]
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -225,9 +225,6 @@
     let shared_parts = header_text(request.headers(), headers::PROMPT_PARTS);
     let shared_parts = shared_parts.map(headers::parse_shared_parts);
     let shared_parts = shared_parts.unwrap_or_default();
-    if gateway.has_refused_part(&shared_parts) {
-        return Err(GatewayError::PartCrashesEngines);
-    }
     let draw = gateway.rng.borrow_mut().f64();
     let last_event_id = header_text(request.headers(), headers::LAST_EVENT_ID);
     let service = route.draw_service(draw).clone();
@@ -237,11 +234,15 @@
         service: service.clone(),
         account: account.clone(),
         fingerprint: fingerprint.to_string(),
+        shared_parts: shared_parts.clone(),
         prompt_tokens: stream.as_ref().map(|stream| stream.prompt.get()),
         time_to_deadline: gateway.clock.until(deadline),
         configuration_version: table.version(),
         configuration_age: arrived_at - gateway.configuration_applied_at.get(),
     });
+    if gateway.has_refused_part(&shared_parts) {
+        return Err(GatewayError::PartCrashesEngines);
+    }
     Ok(ClientRequest {
         id,
         trace: Rc::clone(trace),
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -131,12 +131,10 @@
     target: &EngineId,
     cause: &anyhow::Error,
 ) {
-    let shared_parts = shared_parts.iter().map(PromptPartId::as_str);
-    let shared_parts = shared_parts.collect::<Vec<_>>().join(",");
     tracing::warn!(
         event = "target-crashed",
         request,
-        shared_parts,
+        shared_parts = join_parts(shared_parts),
         %target,
         cause = format!("{cause:#}"),
         "targets: {target} crashed while {request} ran: {cause:#}"
@@ -278,6 +276,11 @@
     );
 }
 
+pub(super) fn join_parts(parts: &[PromptPartId]) -> String {
+    let parts = parts.iter().map(PromptPartId::as_str);
+    parts.collect::<Vec<_>>().join(",")
+}
+
 pub(super) fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
--- a/crates/daemon/src/telemetry/trace.rs
+++ b/crates/daemon/src/telemetry/trace.rs
@@ -13,7 +13,7 @@
 
 use cyclamengauge_core::{
     clock::Instant,
-    ids::{AccountId, EngineId, ServiceId},
+    ids::{AccountId, EngineId, PromptPartId, ServiceId},
     text::SmolStr,
     units::Tokens,
 };
@@ -64,6 +64,8 @@
         account: Option<AccountId>,
         /// Digest of path, account and body.
         fingerprint: String,
+        /// Parts of the prompt that other prompts may share.
+        shared_parts: Vec<PromptPartId>,
         /// Length of the prompt, if the response is a stream.
         prompt_tokens: Option<u64>,
         /// Time until the deadline of the request.
@@ -367,6 +369,7 @@
                 service,
                 account,
                 fingerprint,
+                shared_parts,
                 prompt_tokens,
                 time_to_deadline,
                 configuration_version,
@@ -379,6 +382,7 @@
                 %service,
                 account = account.as_ref().map(AccountId::as_str),
                 content = fingerprint,
+                shared_parts = process_events::join_parts(shared_parts),
                 prompt_tokens,
                 left_ms = millis(*time_to_deadline),
                 configuration_version,
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -113,6 +113,7 @@
             service: ServiceId::new("engines"),
             account: Some(AccountId::new("lab")),
             fingerprint: "0f".to_owned(),
+            shared_parts: vec![PromptPartId::new("p1")],
             prompt_tokens: Some(5_000),
             time_to_deadline: TEST_DURATION,
             configuration_version: 3,
