--- a/crates/core/src/serving/prompt_parts.rs
+++ b/crates/core/src/serving/prompt_parts.rs
@@ -23,8 +23,7 @@
 /// the same moment have a cause of their own, such as the loss of their rack.
 const MIN_CRASH_SPAN: Duration = Duration::from_millis(250);
 
-/// Time after the latest crash for which a part is refused. It exceeds the time over which
-/// clients retry.
+/// Time for which a crash counts. It exceeds the time over which clients retry.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(600);
 
 /// Time after a crash or a completion in which a suspect part is reported to the peers.
@@ -132,7 +131,7 @@
             suspect.has_crashed_here = true;
             suspect.changed_at = now;
         }
-        self.evict();
+        self.evict(now);
         self.update_refused(now)
     }
 
@@ -143,7 +142,7 @@
         for part in parts {
             self.clear_crashes(part, now);
         }
-        self.evict();
+        self.evict(now);
         self.update_refused(now)
     }
 
@@ -155,7 +154,7 @@
         for report in reports {
             self.merge_report(report);
         }
-        self.evict();
+        self.evict(now);
         self.update_refused(now)
     }
 
@@ -211,9 +210,10 @@
         })
     }
 
-    /// The suspects with a crash or a completion in the last `span`.
+    /// The suspects that changed in the last `span` and have crashed engines at this
+    /// instance. Peers report the others.
     pub fn recent_reports(&self, span: Duration, now: Instant) -> Vec<PartReport> {
-        self.reports_if(|_, suspect| now - suspect.changed_at <= span)
+        self.reports_if(|_, suspect| suspect.has_crashed_here && now - suspect.changed_at <= span)
     }
 
     fn reports_if(&self, is_due: impl Fn(&PromptPartId, &Suspect) -> bool) -> Vec<PartReport> {
@@ -274,7 +274,6 @@
         let suspects = self.suspects.iter();
         let candidates = suspects.filter(|(_, suspect)| {
             suspect.crashes.len() >= MAX_CRASHED_ENGINES
-                && now - suspect.changed_at <= CRASH_RETENTION
                 && suspect.has_other_completed(self.completions)
         });
         let mut candidates: Vec<(&PromptPartId, &Suspect)> = candidates.collect();
@@ -303,8 +302,12 @@
         changes
     }
 
-    /// Drops the half of the parts that changed least recently once there are too many.
-    fn evict(&mut self) {
+    /// Drops crashes that no longer count, and the half of the parts that changed least
+    /// recently once there are too many.
+    fn evict(&mut self, now: Instant) {
+        for suspect in self.suspects.values_mut() {
+            suspect.crashes.retain(|_, at| now - *at <= CRASH_RETENTION);
+        }
         if self.suspects.len() > MAX_PARTS {
             let changed_at = self.suspects.values().map(|suspect| suspect.changed_at);
             let median = median(changed_at.collect());
