Refuse queued prompts once their part is refused, and forget cleared parts

Cause, found when reading the change: a long prompt in the queue was refused only when its turn came, though it was known that it can't be served; part-allowed claimed that a prompt was served, also where the crashes were too old; parts without crashes stayed on record. Change: the queue checks the part; the event names both reasons; a part without crashes is dropped once the peers have been told. The check in the queue has no test of its own.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -97,7 +97,7 @@
     "part-refused" ["part", "source"]
         "prompts with this part are refused, as it crashes engines; `source` reported the latest crash";
     "part-allowed" ["part", "source"]
-        "prompts with this part are no longer refused; `source` reported that one was served";
+        "prompts with this part are no longer refused: one was served, as `source` reported, or the crashes are too old";
     "refused-parts-failed" ["step", "cause"]
         "the store's rows of refused parts could not be read, decoded or written";
     "store-lost" ["table", "cause"] "updates of a table of the store can't be read";
--- a/crates/core/src/serving/prompt_parts.rs
+++ b/crates/core/src/serving/prompt_parts.rs
@@ -308,6 +308,9 @@
         for suspect in self.suspects.values_mut() {
             suspect.crashes.retain(|_, at| now - *at <= CRASH_RETENTION);
         }
+        // Peers must learn of a completion before the part is forgotten.
+        self.suspects
+            .retain(|_, s| !s.crashes.is_empty() || now - s.changed_at <= REPORT_SPAN);
         if self.suspects.len() > MAX_PARTS {
             let changed_at = self.suspects.values().map(|suspect| suspect.changed_at);
             let median = median(changed_at.collect());
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -186,7 +186,7 @@
     ) -> Result<Exchange, RequestError> {
         loop {
             let placement = self.place_or_queue(request).await?;
-            // Other requests may have shown this since the last attempt.
+            // Crashes since the last attempt may have shown it.
             if self.gateway.has_refused_part(&request.shared_parts) {
                 return Err(self.refused_part_error(request));
             }
@@ -337,6 +337,9 @@
             peers: self.gateway.instance_count() - 1,
         });
         loop {
+            if self.gateway.has_refused_part(&request.shared_parts) {
+                return Err(self.refused_part_error(request));
+            }
             let engines = self.count_engines(request);
             let wait = entry.expected_wait(engines);
             if self.gateway.clock.now() + wait >= latest {
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -152,8 +152,8 @@
     );
 }
 
-/// Logs that prompts with a part are no longer refused; the instance `source` reported the
-/// completion of one that was sent before.
+/// Logs that prompts with a part are no longer refused: one that was sent before was
+/// served, as the instance `source` reported, or the crashes are too old.
 pub fn log_part_allowed(part: &PromptPartId, source: &str) {
     tracing::info!(
         event = "part-allowed",
