Move the loads of targets into a module of their own

Change: loads and the merge of peers' reports move to targets/load; PeerLoads gets the methods merge, load, loads and is_recent. Behaviour is unchanged.

--- a/crates/core/src/serving/targets.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -1,5 +1,7 @@
 //! Targets of all services: address, health, and load from all instances.
 
+mod load;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
@@ -13,6 +15,9 @@
     units::Tokens,
 };
 
+use load::PeerLoads;
+pub use load::{Load, LoadReport};
+
 /// Exclusion after the first request without a response; doubles with each
 /// further one.
 const MIN_SUSPECT_BACKOFF: Duration = Duration::from_millis(800);
@@ -24,10 +29,6 @@
 /// target is shutting down; its entry in the target list follows soon.
 const LEAVING_BACKOFF: Duration = Duration::from_secs(5);
 
-/// Age after which a peer's loads are ignored: several gossip messages in a row
-/// were lost.
-const PEER_LOAD_TTL: Duration = Duration::from_millis(2_000);
-
 /// Weight of the newest outcome in the moving average of a target's failures.
 const OUTCOME_WEIGHT: f64 = 0.2;
 
@@ -71,27 +72,6 @@
         pub started_unix_ms: u64,
     }
 
-    /// Load of one target, from one instance or from all.
-    #[derive(Copy, Default)]
-    pub struct Load {
-        /// Requests in flight.
-        pub requests: u32,
-        /// Streams past their first event.
-        pub decoding_streams: u32,
-        /// Expected remaining prefill time of the prompts.
-        pub backlog: Duration,
-        /// Backlog that is assumed once first events are overdue.
-        pub overdue_backlog: Duration,
-        /// Time until the first of these events is overdue.
-        pub overdue_in: Duration,
-        /// KV memory of the requests.
-        pub memory: Tokens,
-        /// Shortest gap objective among the streams.
-        pub strictest_gap: Option<Duration>,
-        /// Sum of the streams' values; a very short stream has the value 1.
-        pub value: f64,
-    }
-
     /// Part of a request that runs on one target.
     pub struct Part {
         /// Target of this part.
@@ -162,38 +142,6 @@
     last_received_at: Option<Instant>,
 }
 
-/// Loads that a peer reports for its own requests.
-#[derive(Clone, Debug)]
-pub struct LoadReport {
-    /// Number of the report; later reports of a process have higher ones.
-    pub sequence: u64,
-    /// Whether targets that are not in `loads` have no load. Otherwise they have the
-    /// load of an earlier report.
-    pub is_complete: bool,
-    /// Loads by target; one without requests says that the target's last one ended.
-    pub loads: HashMap<EngineId, Load>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct ReportedLoad {
-    load: Load,
-    /// Number of the report with this load.
-    sequence: u64,
-    reported_at: Instant,
-}
-
-/// Loads of a peer, merged from reports that may arrive in any order.
-#[derive(Clone, Debug, Default)]
-struct PeerLoads {
-    /// Has an entry for each target with load, and for those that lost it since the
-    /// latest complete report.
-    loads: HashMap<EngineId, ReportedLoad>,
-    /// Number of the latest complete report. No entry is older.
-    complete_sequence: u64,
-    /// Time of the peer's latest message.
-    received_at: Instant,
-}
-
 /// All targets known to this instance.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
@@ -257,8 +205,7 @@
         };
         self.targets
             .retain(|id, target| !target.is_removed(now) || in_use(id));
-        self.peers
-            .retain(|_, peer| now - peer.received_at <= PEER_LOAD_TTL);
+        self.peers.retain(|_, peer| peer.is_recent(now));
     }
 
     /// Records a request that is being sent. The first part belongs to the target
@@ -426,26 +373,7 @@
     /// order.
     pub fn merge_peer_loads(&mut self, peer: &InstanceId, report: &LoadReport, now: Instant) {
         let known = self.peers.entry(peer.clone()).or_default();
-        known.received_at = now;
-        let sequence = report.sequence;
-        if sequence < known.complete_sequence {
-            return;
-        }
-        for (id, load) in &report.loads {
-            let newest = known.loads.get(id).map_or(0, |known| known.sequence);
-            if newest <= sequence {
-                let reported = ReportedLoad {
-                    load: *load,
-                    sequence,
-                    reported_at: now,
-                };
-                known.loads.insert(id.clone(), reported);
-            }
-        }
-        if report.is_complete {
-            known.loads.retain(|_, load| load.sequence >= sequence);
-            known.complete_sequence = sequence;
-        }
+        known.merge(report, now);
     }
 
     /// Drops the loads of a peer whose process was replaced.
@@ -489,7 +417,7 @@
             }
         }
         for peer in self.peers.values() {
-            if let Some(load) = peer.loads.get(id).and_then(|load| peer.estimate(load, now)) {
+            if let Some(load) = peer.load(id, now) {
                 sum.add(&load);
             }
         }
@@ -508,10 +436,8 @@
             }
         }
         for peer in self.peers.values() {
-            for (id, load) in &peer.loads {
-                if let Some(load) = peer.estimate(load, now) {
-                    sums.entry(id).or_default().add(&load);
-                }
+            for (id, load) in peer.loads(now) {
+                sums.entry(id).or_default().add(&load);
             }
         }
         sums
@@ -601,47 +527,6 @@
     }
 }
 
-impl PeerLoads {
-    /// Estimates the present load from a reported one; none if the peer has not
-    /// sent a message for [`PEER_LOAD_TTL`].
-    fn estimate(&self, reported: &ReportedLoad, now: Instant) -> Option<Load> {
-        let load = reported.load;
-        let age = now - reported.reported_at;
-        let overdue_in = load.overdue_in.saturating_sub(age);
-        let mut backlog = load.backlog.saturating_sub(age);
-        if overdue_in.is_zero() {
-            backlog = backlog.max(load.overdue_backlog);
-        }
-        let is_recent = now - self.received_at <= PEER_LOAD_TTL;
-        is_recent.then_some(Load {
-            backlog,
-            overdue_in,
-            ..load
-        })
-    }
-}
-
-impl Load {
-    /// Adds the load of another request or instance.
-    pub fn add(&mut self, other: &Self) {
-        self.requests += other.requests;
-        self.decoding_streams += other.decoding_streams;
-        self.backlog += other.backlog;
-        self.overdue_in = match (self.overdue_backlog, other.overdue_backlog) {
-            (Duration::ZERO, _) => other.overdue_in,
-            (_, Duration::ZERO) => self.overdue_in,
-            _ => self.overdue_in.min(other.overdue_in),
-        };
-        self.overdue_backlog += other.overdue_backlog;
-        self.memory += other.memory;
-        self.value += other.value;
-        self.strictest_gap = match (self.strictest_gap, other.strictest_gap) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        };
-    }
-}
-
 impl InFlightRequest {
     /// Load of one part. Helpers have no load after the first event.
     fn load_of(&self, index: usize, now: Instant) -> Load {
