Log the limits on requests per second that targets name

Cause: targets in need name in their responses the requests per second that they take from all instances together. The logs of the incident have neither the limit nor the time at which an instance learned of it, so they can't tell instances that don't know a limit from instances that exceed it together. Requests are placed as before.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -94,6 +94,9 @@
     "target-suspect" ["target", "cause", "out_ms"] "a target is excluded for `out_ms`";
     "target-crashed" ["request", "shared_parts", "target", "cause"]
         "the connection to a target was lost and a new one can't be opened";
+    "target-limit" ["target", "limit_per_s", "before_per_s", "source"]
+        "a target takes this many requests per second from all instances; without `limit_per_s` it has withdrawn its limit";
+    "target-limit-faulty" ["target", "cause"] "the limit in a response of a target is invalid and ignored";
     "part-refused" ["part", "source"]
         "prompts with this part are refused, as it crashes engines; `source` reported the latest crash";
     "part-allowed" ["part", "source"]
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -14,6 +14,9 @@
 
     /// Prefill rate of an engine.
     pub struct TokensPerSecond(f64) in "tokens/s";
+
+    /// Rate of requests to a target.
+    pub struct RequestsPerSecond(f64) in "requests/s";
 }
 
 impl Eq for Tokens {}
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -28,6 +28,7 @@
         Gateway,
         reservations::Reservations,
         response_timeouts::{ResponseTimeouts, WaitError},
+        target_limits,
         upstream::{self, Connection},
     },
     telemetry::{
@@ -302,6 +303,7 @@
         Ok(Ok(response)) => response,
     };
     in_flight.record_received();
+    target_limits::record_response(gateway, &in_flight.target, &response);
     let exchange = Exchange {
         response,
         in_flight,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 - `watch`: the configuration and the target list, from the platform's store or from
   peers that watch it;
 - `gossip`: exchange of loads, crashes and versions between instances;
+- `target_limits`: the limits that targets name in their responses;
 - `refused_parts`: parts of prompts that crash engines, in the platform's store;
 - `upstream`, `store`: outgoing connections and the store client.
 */
@@ -24,11 +25,13 @@
 mod responses;
 mod run;
 mod store;
+mod target_limits;
 mod upstream;
 mod watch;
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     time::Duration,
 };
@@ -50,6 +53,7 @@
         targets::Targets,
         watchers::Watchers,
     },
+    units::RequestsPerSecond,
 };
 use cyclamengauge_platform::{configuration, settings};
 use tokio::sync::Notify;
@@ -107,6 +111,8 @@
     /// Long-prompt queue.
     queue: RefCell<Queue>,
     retry_budget: RefCell<RetryBudget>,
+    /// Limits that targets named in their latest responses to this instance.
+    named_limits: RefCell<HashMap<EngineId, RequestsPerSecond>>,
     crashes: RefCell<Crashes>,
     prompt_parts: RefCell<PromptParts>,
     rng: RefCell<fastrand::Rng>,
@@ -163,6 +169,7 @@
             stream_rate: Cell::default(),
             queue: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
+            named_limits: RefCell::default(),
             crashes: RefCell::default(),
             prompt_parts: RefCell::default(),
             rng: RefCell::new(fastrand::Rng::with_seed(incarnation)),
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -10,6 +10,7 @@
     clock::Instant,
     ids::{EngineId, InstanceId, PromptPartId},
     serving::{store_calls::Outage, targets::TargetFacts, watchers::WatchState},
+    units::RequestsPerSecond,
 };
 
 /// Logs that the process serves on `listen`.
@@ -123,6 +124,38 @@
     );
 }
 
+/// Logs that a target has named a limit on its requests per second or, without `limit`,
+/// withdrawn it. `source` is the instance that got the response.
+pub fn log_target_limit(
+    target: &EngineId,
+    limit: Option<RequestsPerSecond>,
+    before: Option<RequestsPerSecond>,
+    source: &str,
+) {
+    let stated = match limit {
+        Some(limit) => format!("is limited to {limit} from all instances"),
+        None => "has no limit any more".to_owned(),
+    };
+    tracing::info!(
+        event = "target-limit",
+        %target,
+        limit_per_s = limit.map(RequestsPerSecond::get),
+        before_per_s = before.map(RequestsPerSecond::get),
+        source,
+        "targets: {target} {stated}"
+    );
+}
+
+/// Logs that the limit in a response of a target is invalid.
+pub fn log_target_limit_faulty(target: &EngineId, cause: &anyhow::Error) {
+    tracing::warn!(
+        event = "target-limit-faulty",
+        %target,
+        cause = format!("{cause:#}"),
+        "targets: ignored the limit of {target}: {cause:#}"
+    );
+}
+
 /// Logs that a target broke off `request` and accepts no connections since, which
 /// counts as a crash. `shared_parts` are the parts of the prompt that others may share.
 pub fn log_target_crashed(
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -17,7 +17,7 @@
     ids::{AccountId, DataCentreId, EngineId, InstanceId, PromptPartId, ServiceId},
     serving::{store_calls::Outage, targets::TargetFacts, watchers::WatchState},
     text::SmolStr,
-    units::Tokens,
+    units::{RequestsPerSecond, Tokens},
 };
 use cyclamengauge_daemon::{
     node::Clock,
@@ -224,6 +224,9 @@
         process_events::log_target_suspect(&target_id(), "silent", TEST_DURATION);
         process_events::log_target_crashed("r1", &[PromptPartId::new("p1")], &target_id(), &err);
         process_events::log_store_lost(&"targets", &err);
+        let limit = Some(RequestsPerSecond(1.5));
+        process_events::log_target_limit(&target_id(), limit, limit, "a");
+        process_events::log_target_limit_faulty(&target_id(), &err);
         process_events::log_part_refused(&PromptPartId::new("p1"), "a");
         process_events::log_part_allowed(&PromptPartId::new("p1"), "a");
         process_events::log_refused_parts_failed("read", &err);
