Keep to the limits on requests per second that targets name

Seen by callers: a target in need, which had asked for few requests, went on to get as many as the others. Cause: nothing read the limit. The class: what a target says of itself counts at one instance at most, though it holds for all. Change: instances count their requests to each target with a decaying weight and tell their peers the counts for limited targets; a target gets a request if the sum of all instances allows it. Every attempt counts, also one that resumes a stream, and every part of a split prompt. Peers that have just fallen silent keep their part of the limits. Requests above the limits go to other targets, or are refused at once with targets-at-limit and a time at which the limit allows them. A limit is withdrawn by two answers without one, each to a request that was sent after the answer before.

--- a/crates/cli/src/traces.rs
+++ b/crates/cli/src/traces.rs
@@ -11,10 +11,11 @@
 const CONTEXT_MS: u64 = 3_000;
 
 /// Process events that the trace of a request includes.
-const PROCESS_EVENTS: [&str; 6] = [
+const PROCESS_EVENTS: [&str; 7] = [
     "start",
     "shutdown",
     "configuration",
+    "target-limit",
     "store-lost",
     "store-back",
     "peers",
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -63,8 +63,10 @@
         "a long prompt is queued; `wait_ms` is the expected wait, `latest_ms` the longest";
     "placed" [
         "request", "at_unix_ms", "target", "helpers", "estimate_ms", "wait_ms", "target_requests",
-        "target_failing", "runners_up", "excluded", "list_age_ms", "peers", "news_age_ms"
+        "target_failing", "runners_up", "excluded", "at_limit", "list_age_ms", "peers", "news_age_ms"
     ] "a target was chosen; the ages are those of the target list and of the peers' loads";
+    "at-limit" ["request", "at_unix_ms", "targets", "wait_ms"]
+        "no target was chosen, as the limits that these targets named are reached for `wait_ms`";
     "reserved" ["request", "at_unix_ms", "engines", "memory_tokens", "took_ms"]
         "memory was reserved on the helper engines of a split prompt";
     "try-failed" ["request", "at_unix_ms", "target", "failure", "cause", "retries_left"]
--- a/crates/core/src/serving/peers.rs
+++ b/crates/core/src/serving/peers.rs
@@ -34,6 +34,13 @@
 /// Time without messages after which a peer no longer counts as alive.
 const ALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time without messages after which a peer's reports are missing: several complete
+/// states in a row were lost.
+const MISSING_AFTER: Duration = Duration::from_millis(1_200);
+
+/// Time without messages after which a peer is no longer missing but gone.
+const GONE_AFTER: Duration = Duration::from_secs(6);
+
 /// Time without messages after which a peer counts as silent and gets messages
 /// at a longer interval.
 const SILENT_AFTER: Duration = Duration::from_secs(30);
@@ -144,6 +151,21 @@
         alive.count() as u32
     }
 
+    /// Number of peers whose messages arrive, and of those that fell silent a short time
+    /// ago, but may be alive behind a broken link.
+    pub fn heard_and_missing(&self, now: Instant) -> (u32, u32) {
+        let peers = self.peers.values().filter(|peer| peer.has_sent_message);
+        let ages = peers.map(|peer| now - peer.last_received_at);
+        let (mut heard, mut missing) = (0, 0);
+        for age in ages.filter(|age| *age <= GONE_AFTER) {
+            match age <= MISSING_AFTER {
+                true => heard += 1,
+                false => missing += 1,
+            }
+        }
+        (heard, missing)
+    }
+
     /// Records the arrival of a message and compares it with the earlier ones of its
     /// sender.
     pub fn accept_message(
--- a/crates/core/src/serving/placement/mod.rs
+++ b/crates/core/src/serving/placement/mod.rs
@@ -112,6 +112,9 @@
     TooLong,
     /// The chosen engines have too little free KV memory at present.
     NoMemory,
+    /// The limits of all usable targets are reached. Holds the time until the first of
+    /// them allows another request.
+    AtLimit(Duration),
 }
 
 /// Chooses the target of a request, and helpers if the prompt is to be split.
@@ -129,7 +132,12 @@
 ) -> Result<Placement, PlacementError> {
     let usable = targets.usable(&request.service, &request.excluded, now);
     if usable.is_empty() {
-        return Err(PlacementError::NoTarget);
+        let at_limit = targets.at_limit(&request.service, &request.excluded, now);
+        let waits = at_limit.iter();
+        let waits = waits.map(|target| targets.limits.wait(&target.facts.id, now));
+        return Err(waits
+            .min()
+            .map_or(PlacementError::NoTarget, PlacementError::AtLimit));
     }
     match (&request.stream, model) {
         (Some(stream), Some(model)) => {
--- a/crates/core/src/serving/targets/mod.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -1,5 +1,6 @@
 //! Targets of all services: address, health, and load from all instances.
 
+pub mod limits;
 mod load;
 
 use std::{
@@ -15,6 +16,7 @@
     units::Tokens,
 };
 
+use limits::TargetLimits;
 use load::PeerLoads;
 pub use load::{Load, LoadReport};
 
@@ -151,6 +153,8 @@
     /// Targets on which this instance's load changed since the changes were last taken.
     changed: BTreeSet<EngineId>,
     peers: HashMap<InstanceId, PeerLoads>,
+    /// Limits that targets set on their requests.
+    pub limits: TargetLimits,
     /// Moving average of the durations of served requests.
     mean_durations: HashMap<ServiceId, Duration>,
 }
@@ -173,7 +177,7 @@
     }
 
     /// Adds or updates a target from its entry. If the target's process was
-    /// restarted, its failure rate and exclusions are reset.
+    /// restarted, its failure rate, exclusions and limit are reset.
     pub fn upsert(&mut self, facts: TargetFacts, now: Instant) {
         match self.targets.get_mut(&facts.id) {
             Some(known) if known.facts.started_unix_ms == facts.started_unix_ms => {
@@ -182,6 +186,7 @@
             }
             _ => {
                 let target = Target::new(facts, now);
+                self.limits.forget_limit(&target.facts.id);
                 self.targets.insert(target.facts.id.clone(), target);
             }
         }
@@ -206,6 +211,9 @@
         self.targets
             .retain(|id, target| !target.is_removed(now) || in_use(id));
         self.peers.retain(|_, peer| peer.is_recent(now));
+        let targets = &self.targets;
+        self.limits
+            .remove_expired(|id| targets.contains_key(id), now);
     }
 
     /// Records a request that is being sent. The first part belongs to the target
@@ -222,6 +230,9 @@
         });
         let prefilled_at = prefilled_at.collect();
         self.mark_changed(&parts);
+        for part in &parts {
+            self.limits.record_request(&part.target, now);
+        }
         self.last_id += 1;
         let id = InFlightId(self.last_id);
         let request = InFlightRequest {
@@ -377,8 +388,9 @@
     }
 
     /// Drops the loads of a peer whose process was replaced.
-    pub fn forget_peer(&mut self, peer: &InstanceId) {
+    pub fn forget_peer(&mut self, peer: &InstanceId, now: Instant) {
         self.peers.remove(peer);
+        self.limits.record_peer_restart(peer, now);
     }
 
     /// Takes this instance's loads on the targets where they changed since the last
@@ -443,10 +455,29 @@
         sums
     }
 
-    /// Targets of a service that may receive new requests: all that are neither
-    /// suspect nor leaving. If every target is one or the other, these exclusions
-    /// are ignored.
+    /// Targets of a service that may receive new requests: the eligible ones whose
+    /// limits allow another request.
     pub fn usable(&self, service: &ServiceId, excluded: &[EngineId], now: Instant) -> Vec<&Target> {
+        let mut targets = self.eligible(service, excluded, now);
+        targets.retain(|target| self.limits.wait(&target.facts.id, now).is_zero());
+        targets
+    }
+
+    /// Eligible targets of a service whose limits don't allow another request now.
+    pub fn at_limit(
+        &self,
+        service: &ServiceId,
+        excluded: &[EngineId],
+        now: Instant,
+    ) -> Vec<&Target> {
+        let mut targets = self.eligible(service, excluded, now);
+        targets.retain(|target| !self.limits.wait(&target.facts.id, now).is_zero());
+        targets
+    }
+
+    /// Targets of a service that are neither suspect nor leaving. If every target is one
+    /// or the other, these exclusions are ignored.
+    fn eligible(&self, service: &ServiceId, excluded: &[EngineId], now: Instant) -> Vec<&Target> {
         let candidates = self.targets.values().filter(|target| {
             &target.facts.service == service
                 && !target.facts.draining
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -13,6 +13,7 @@
 mod routes;
 mod simulation;
 mod store_calls;
+mod target_limits;
 mod target_list;
 mod targets;
 mod watchers;
--- a/crates/core/tests/serving/targets.rs
+++ b/crates/core/tests/serving/targets.rs
@@ -257,7 +257,7 @@
     assert_eq!(counts(&targets), [2, 0, 1]);
     report(&mut targets, "a", 3, true, requests(&[(3, 4)]), 10);
     assert_eq!(counts(&targets), [0, 0, 4]);
-    targets.forget_peer(&InstanceId::new("a"));
+    targets.forget_peer(&InstanceId::new("a"), ms(0));
     assert_eq!(counts(&targets), [0, 0, 0]);
 }
 
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -21,6 +21,7 @@
         exchange::{self, AttemptError, ClientRequest, Exchange},
         response_timeouts::{ResponseTimeouts, client_timeout},
         responses::GatewayError,
+        target_limits,
     },
     http::BusyGuard,
     telemetry::trace::{self, PlacementDetails, RequestEnd, TraceEvent},
@@ -185,7 +186,8 @@
         last_event_id: Option<&HeaderValue>,
     ) -> Result<Exchange, RequestError> {
         loop {
-            let placement = self.place_or_queue(request).await?;
+            let placement = self.place_or_queue(request).await;
+            let placement = placement.map_err(|error| self.with_return_time(request, error))?;
             // Crashes since the last attempt may have shown it.
             if self.gateway.has_refused_part(&request.shared_parts) {
                 return Err(self.refused_part_error(request));
@@ -313,6 +315,21 @@
         self.sent_attempts + self.unsent_attempts
     }
 
+    /// Sets the time at which a client can return that is refused since the limits of the
+    /// targets are reached.
+    fn with_return_time(&self, request: &ClientRequest, error: RequestError) -> RequestError {
+        let RequestError::Gateway(GatewayError::TargetsAtLimit(wait)) = error else {
+            return error;
+        };
+        let (gateway, service) = (&self.gateway, &request.service);
+        request.trace.add(TraceEvent::AtLimit {
+            targets: target_limits::describe_at_limit(gateway, service, &self.excluded),
+            wait,
+        });
+        let delay = target_limits::take_retry_delay(gateway, service, &self.excluded, wait);
+        RequestError::Gateway(GatewayError::TargetsAtLimit(delay))
+    }
+
     /// Places the request. A long prompt waits in the queue first, unless its placement
     /// may skip the queue.
     async fn place_or_queue(&mut self, request: &ClientRequest) -> Result<Placement, RequestError> {
@@ -354,6 +371,8 @@
                     }
                     // Stays queued until other requests free memory or the backlog shrinks.
                     Ok(_) | Err(RequestError::Gateway(GatewayError::TargetsBusy(_))) => {}
+                    Err(RequestError::Gateway(GatewayError::TargetsAtLimit(wait)))
+                        if self.gateway.clock.now() + wait < latest => {}
                     Err(error) => return Err(error),
                 }
             }
@@ -415,11 +434,17 @@
         let mut rng = self.gateway.rng.borrow_mut();
         let placed = placement::choose(&targets, &placement_request, model, &mut rng, now);
         placed.map_err(|error| {
+            if let PlacementError::AtLimit(wait) = error
+                && !self.may_have_executed
+            {
+                return RequestError::Gateway(GatewayError::TargetsAtLimit(wait));
+            }
             if self.may_have_executed || self.sent_attempts > 0 {
                 return self.final_error_for(request, &targets);
             }
             RequestError::Gateway(match error {
                 PlacementError::NoTarget => GatewayError::NoTarget,
+                PlacementError::AtLimit(wait) => GatewayError::TargetsAtLimit(wait),
                 PlacementError::TooLong => GatewayError::PromptTooLong,
                 PlacementError::NoMemory => self.busy_error(request, &targets),
             })
@@ -479,6 +504,14 @@
         let load = targets.load(&placement.target, now);
         let target = targets.get(&placement.target);
         let peers = self.gateway.instance_count() - 1;
+        let at_limit = targets
+            .at_limit(&request.service, &self.excluded, now)
+            .len() as u64;
+        if at_limit > 0 {
+            let service = request.service.to_string();
+            metrics::counter!("cyclamengauge_limit_diversions_total", "service" => service)
+                .increment(1);
+        }
         request
             .trace
             .add(TraceEvent::Placed(Box::new(PlacementDetails {
@@ -490,6 +523,7 @@
                 target_failure_rate: target.map_or(0.0, |target| target.failure_rate(now)),
                 runners_up: runners_up(placement),
                 excluded: self.excluded.len() as u64,
+                at_limit,
                 list_age: self.gateway.target_list_age(),
                 peers,
                 peer_load_age: peers::expected_gossip_age(peers),
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -239,7 +239,7 @@
     // uses reservation ids of its own.
     let reservation_prefix = format!("{}-{:08x}", request.id, gateway.rng.borrow_mut().u32(..));
     let reservation_started_at = gateway.clock.now();
-    let reserved = Reservations::create(placement, &reservation_prefix).await;
+    let reserved = Reservations::create(gateway, placement, &reservation_prefix).await;
     let reservations = match reserved {
         Ok(reservations) => {
             record_reservation(gateway, request, placement, reservation_started_at);
@@ -272,6 +272,7 @@
     let target_request =
         build_target_request(gateway, request, placement, &reservations, last_event_id);
     let target = (&placement.target, placement.address);
+    let sent_at = gateway.clock.now();
     let sending = connection.send(target_request);
     let sent = response_timeouts
         .wait(gateway, target, request.deadline, sending)
@@ -303,7 +304,7 @@
         Ok(Ok(response)) => response,
     };
     in_flight.record_received();
-    target_limits::record_response(gateway, &in_flight.target, &response);
+    target_limits::record_response(gateway, &in_flight.target, &response, sent_at);
     let exchange = Exchange {
         response,
         in_flight,
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -1,10 +1,10 @@
 //! Gauges of the gateway's state, updated at each scrape.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamengauge_core::{
     clock::Instant,
-    ids::ServiceId,
+    ids::{EngineId, ServiceId},
     serving::{targets::Target, watchers::WatchState},
 };
 
@@ -70,6 +70,24 @@
         metrics::gauge!("cyclamengauge_store_age_seconds", "table" => table).set(age.as_secs_f64());
     }
     update_services(gateway, now);
+    update_limits(gateway);
+}
+
+/// Sets the limit of each limited target, and 0 for those that no longer have one.
+fn update_limits(gateway: &Gateway) {
+    let targets = gateway.targets.borrow();
+    let set = |target: &EngineId, limit: f64| {
+        metrics::gauge!("cyclamengauge_target_limit", "target" => target.to_string()).set(limit);
+    };
+    let mut limited: BTreeSet<EngineId> = BTreeSet::new();
+    for (target, limit) in targets.limits.limited() {
+        set(target, limit.get());
+        limited.insert(target.clone());
+    }
+    let previous = gateway.limits_in_metrics.replace(limited.clone());
+    for target in previous.difference(&limited) {
+        set(target, 0.0);
+    }
 }
 
 fn update_services(gateway: &Gateway, now: Instant) {
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -10,11 +10,11 @@
         dissemination::DueMessage,
         prompt_parts::{EngineCrash, PartReport},
         queue::QueuedPrompt,
-        targets::{Load, LoadReport},
+        targets::{Load, LoadReport, limits::LimitReport},
         watchers::WatchState,
     },
     text::SmolStr,
-    units::Tokens,
+    units::{RequestsPerSecond, Tokens},
 };
 use cyclamengauge_schema::v1;
 
@@ -37,9 +37,16 @@
     now: Instant,
 ) -> v1::Gossip {
     let settings = gateway.settings.borrow();
-    let loads = match message {
-        DueMessage::Changes => gateway.targets.borrow_mut().take_changed_loads(now),
-        DueMessage::CompleteState => gateway.targets.borrow().own_loads(now),
+    let (loads, target_limits) = match message {
+        DueMessage::Changes => {
+            let mut targets = gateway.targets.borrow_mut();
+            let limits = targets.limits.take_changed_reports(now);
+            (targets.take_changed_loads(now), limits)
+        }
+        DueMessage::CompleteState => {
+            let targets = gateway.targets.borrow();
+            (targets.own_loads(now), targets.limits.reports(now))
+        }
     };
     let targets = gateway.targets.borrow();
     let loads = loads.iter().map(|(id, load)| {
@@ -75,6 +82,7 @@
             .get()
             .map(|at| (now - at).as_millis() as u32),
         part_crashes: parts.iter().map(|part| encode_part(part, now)).collect(),
+        target_limits: target_limits.iter().map(encode_target_limit).collect(),
     }
 }
 
@@ -161,6 +169,30 @@
     }
 }
 
+fn encode_target_limit(report: &LimitReport) -> v1::TargetLimit {
+    let millis = |age: Duration| age.as_millis() as u64;
+    v1::TargetLimit {
+        target: report.target.to_string(),
+        limit_per_s: report.limit.get(),
+        named_age_ms: report.named_age.map(millis),
+        doubted_age_ms: report.doubted_age.map(millis),
+        withdrawn_age_ms: report.withdrawn_age.map(millis),
+        sent_count: report.sent_count,
+    }
+}
+
+/// Decodes what a peer knows of a target's limit, and its requests to the target.
+pub(super) fn decode_target_limit(limit: &v1::TargetLimit) -> LimitReport {
+    LimitReport {
+        target: EngineId::new(&limit.target),
+        limit: RequestsPerSecond(limit.limit_per_s),
+        named_age: limit.named_age_ms.map(Duration::from_millis),
+        doubted_age: limit.doubted_age_ms.map(Duration::from_millis),
+        withdrawn_age: limit.withdrawn_age_ms.map(Duration::from_millis),
+        sent_count: limit.sent_count,
+    }
+}
+
 fn encode_part(report: &PartReport, now: Instant) -> v1::PartCrashes {
     let age_ms = |at: Instant| (now - at).as_millis() as u64;
     let crashes = report.crashes.iter().map(|crash| v1::EngineCrash {
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -22,6 +22,7 @@
         dissemination::DueMessage,
         peers::{MessageNumber, Reception, Recipient, Sender},
         target_list::ListVersion,
+        targets::limits::LimitReport,
         watchers::WatchState,
     },
     text::SmolStr,
@@ -30,7 +31,7 @@
 use prost::Message;
 
 use crate::{
-    gateway::{Gateway, refused_parts},
+    gateway::{Gateway, refused_parts, target_limits},
     telemetry::process_events,
 };
 
@@ -80,7 +81,11 @@
                 if alive != previously_alive {
                     process_events::log_peers(alive, previously_alive);
                 }
-                gateway.targets.borrow_mut().remove_expired(now);
+                let (heard, missing) = gateway.peers.borrow().heard_and_missing(now);
+                let mut targets = gateway.targets.borrow_mut();
+                targets.remove_expired(now);
+                targets.limits.set_peers(heard, missing);
+                drop(targets);
                 start_round(&gateway, now)
             }
         };
@@ -191,10 +196,11 @@
     }
     let mut targets = gateway.targets.borrow_mut();
     if reception == Reception::NewProcess {
-        targets.forget_peer(&instance);
+        targets.forget_peer(&instance, now);
     }
     targets.merge_peer_loads(&instance, &messages::decode_load_report(gossip), now);
     drop(targets);
+    record_target_limits(gateway, &instance, gossip, now);
     if reception == Reception::Late {
         return;
     }
@@ -236,6 +242,19 @@
     fetch::schedule_fetch(gateway, peer);
 }
 
+fn record_target_limits(gateway: &Gateway, peer: &InstanceId, gossip: &v1::Gossip, now: Instant) {
+    let reports = gossip.target_limits.iter();
+    let reports: Vec<LimitReport> = reports.map(messages::decode_target_limit).collect();
+    let mut targets = gateway.targets.borrow_mut();
+    let changes = targets
+        .limits
+        .merge_reports(peer, gossip.sequence, &reports, now);
+    drop(targets);
+    for (target, change) in changes {
+        target_limits::log_change(&target, change, &gossip.instance);
+    }
+}
+
 /// Records whether a peer watches the tables. What it reads from the store also
 /// confirms the state of an instance that does not watch them.
 fn record_watch_state(
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -31,7 +31,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::BTreeSet,
     rc::Rc,
     time::Duration,
 };
@@ -53,7 +53,6 @@
         targets::Targets,
         watchers::Watchers,
     },
-    units::RequestsPerSecond,
 };
 use cyclamengauge_platform::{configuration, settings};
 use tokio::sync::Notify;
@@ -111,8 +110,10 @@
     /// Long-prompt queue.
     queue: RefCell<Queue>,
     retry_budget: RefCell<RetryBudget>,
-    /// Limits that targets named in their latest responses to this instance.
-    named_limits: RefCell<HashMap<EngineId, RequestsPerSecond>>,
+    /// Latest log line about an invalid limit of a target.
+    faulty_limit_logged_at: Cell<Option<Instant>>,
+    /// Targets whose limits the metrics have, so that they can be reset.
+    limits_in_metrics: RefCell<BTreeSet<EngineId>>,
     crashes: RefCell<Crashes>,
     prompt_parts: RefCell<PromptParts>,
     rng: RefCell<fastrand::Rng>,
@@ -169,7 +170,8 @@
             stream_rate: Cell::default(),
             queue: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
-            named_limits: RefCell::default(),
+            faulty_limit_logged_at: Cell::default(),
+            limits_in_metrics: RefCell::default(),
             crashes: RefCell::default(),
             prompt_parts: RefCell::default(),
             rng: RefCell::new(fastrand::Rng::with_seed(incarnation)),
--- a/crates/daemon/src/gateway/reservations.rs
+++ b/crates/daemon/src/gateway/reservations.rs
@@ -10,6 +10,7 @@
 use anyhow::Context;
 use bytes::Bytes;
 use cyclamengauge_core::{
+    ids::EngineId,
     serving::placement::{Helper, Placement},
     units::Tokens,
 };
@@ -18,7 +19,10 @@
 use http::Request;
 use http_body_util::Full;
 
-use crate::{gateway::upstream::Connection, telemetry::process_events};
+use crate::{
+    gateway::{Gateway, target_limits, upstream::Connection},
+    telemetry::process_events,
+};
 
 /// Lease duration of a reservation. The platform accepts reserved memory that
 /// stays unused for up to 2 s.
@@ -38,6 +42,7 @@
 #[derive(Clone, Debug)]
 struct Reservation {
     id: String,
+    target: EngineId,
     address: SocketAddr,
     memory: Tokens,
 }
@@ -45,6 +50,7 @@
 /// The reservations of one attempt. They are renewed until the value is dropped,
 /// and then released.
 pub struct Reservations {
+    gateway: Rc<Gateway>,
     entries: Rc<Vec<Reservation>>,
     renewal_task: Option<actix_rt::task::JoinHandle<()>>,
 }
@@ -57,25 +63,33 @@
     ///
     /// If an engine refuses or does not respond. Memory already reserved is
     /// released.
-    pub async fn create(placement: &Placement, id_prefix: &str) -> anyhow::Result<Self> {
+    pub async fn create(
+        gateway: &Rc<Gateway>,
+        placement: &Placement,
+        id_prefix: &str,
+    ) -> anyhow::Result<Self> {
         let helpers = placement.helpers.iter().enumerate();
         let helpers = helpers.filter(|(_, helper)| helper.memory > Tokens(0));
         let entries = helpers.map(|(index, helper)| Reservation {
             id: reservation_id(id_prefix, index),
+            target: helper.target.clone(),
             address: helper.address,
             memory: helper.memory,
         });
         let mut reservations = Self {
+            gateway: Rc::clone(gateway),
             entries: Rc::new(entries.collect()),
             renewal_task: None,
         };
         if reservations.entries.is_empty() {
             return Ok(reservations);
         }
-        future::try_join_all(reservations.entries.iter().map(reserve)).await?;
-        reservations.renewal_task = Some(actix_rt::spawn(renew_periodically(Rc::clone(
-            &reservations.entries,
-        ))));
+        let reserving = reservations.entries.iter();
+        future::try_join_all(reserving.map(|entry| reserve(gateway, entry))).await?;
+        reservations.renewal_task = Some(actix_rt::spawn(renew_periodically(
+            Rc::clone(gateway),
+            Rc::clone(&reservations.entries),
+        )));
         Ok(reservations)
     }
 
@@ -94,7 +108,7 @@
             renewal_task.abort();
         }
         for reservation in self.entries.iter().cloned() {
-            actix_rt::spawn(release(reservation));
+            actix_rt::spawn(release(Rc::clone(&self.gateway), reservation));
         }
     }
 }
@@ -104,9 +118,9 @@
 }
 
 /// Makes or renews a reservation; the order is the same for both.
-async fn reserve(reservation: &Reservation) -> anyhow::Result<()> {
+async fn reserve(gateway: &Gateway, reservation: &Reservation) -> anyhow::Result<()> {
     let body = orders::reserve_body(&reservation.id, reservation.memory, LEASE_DURATION);
-    let status = send_order(reservation.address, body).await?;
+    let status = send_order(gateway, reservation, body).await?;
     let (memory, address) = (reservation.memory, reservation.address);
     anyhow::ensure!(
         status == 200,
@@ -115,12 +129,13 @@
     Ok(())
 }
 
-async fn renew_periodically(entries: Rc<Vec<Reservation>>) {
+async fn renew_periodically(gateway: Rc<Gateway>, entries: Rc<Vec<Reservation>>) {
     loop {
         actix_rt::time::sleep(RENEWAL_INTERVAL).await;
         for reservation in entries.iter().cloned() {
+            let gateway = Rc::clone(&gateway);
             actix_rt::spawn(async move {
-                if let Err(err) = reserve(&reservation).await {
+                if let Err(err) = reserve(&gateway, &reservation).await {
                     process_events::log_reservation_failed(&reservation.id, &err.context("renew"));
                 }
             });
@@ -129,9 +144,10 @@
 }
 
 /// Sends release orders until the engine responds, with any status.
-async fn release(reservation: Reservation) {
+async fn release(gateway: Rc<Gateway>, reservation: Reservation) {
     for _ in 0..MAX_RELEASE_ORDERS {
-        match send_order(reservation.address, orders::release_body(&reservation.id)).await {
+        let body = orders::release_body(&reservation.id);
+        match send_order(&gateway, &reservation, body).await {
             Ok(_) => return,
             Err(err) => {
                 process_events::log_reservation_failed(&reservation.id, &err.context("release"));
@@ -142,7 +158,12 @@
 }
 
 /// Sends an order to an engine; returns the status of the response.
-async fn send_order(address: SocketAddr, body: Vec<u8>) -> anyhow::Result<u16> {
+async fn send_order(
+    gateway: &Gateway,
+    reservation: &Reservation,
+    body: Vec<u8>,
+) -> anyhow::Result<u16> {
+    let address = reservation.address;
     let request = Request::post(orders::PATH)
         .header(http::header::HOST, address.to_string())
         .header(http::header::CONTENT_TYPE, "application/json")
@@ -154,8 +175,7 @@
     let response = response.with_context(|| {
         format!("send order to engine {address}: no response within {ORDER_TIMEOUT:?}")
     })?;
-    Ok(response
-        .with_context(|| format!("send order to engine {address}"))?
-        .status()
-        .as_u16())
+    let response = response.with_context(|| format!("send order to engine {address}"))?;
+    target_limits::record_order_response(gateway, &reservation.target, &response);
+    Ok(response.status().as_u16())
 }
--- a/crates/daemon/src/gateway/responses.rs
+++ b/crates/daemon/src/gateway/responses.rs
@@ -50,6 +50,9 @@
     /// The targets have no free slot or memory, or could not be reached. Holds the
     /// time after which a retry is likely to succeed.
     TargetsBusy(Duration),
+    /// The limits that the usable targets named are reached. Holds the time after which a
+    /// retry is likely to succeed.
+    TargetsAtLimit(Duration),
     /// The expected wait in the long-prompt queue exceeds the request's limit. Holds
     /// the time after which a retry is likely to succeed.
     Overloaded(Duration),
@@ -77,6 +80,7 @@
             Self::PartCrashesEngines => "prompt-part-crashes-engines",
             Self::NoTarget => "no-target",
             Self::TargetsBusy(_) => "targets-busy",
+            Self::TargetsAtLimit(_) => "targets-at-limit",
             Self::Overloaded(_) => "overloaded",
             Self::PromptTooLong => "prompt-too-long",
             Self::ShuttingDown => "shutting-down",
@@ -100,6 +104,7 @@
             | Self::PartCrashesEngines
             | Self::NoTarget
             | Self::TargetsBusy(_)
+            | Self::TargetsAtLimit(_)
             | Self::Overloaded(_)
             | Self::PromptTooLong
             | Self::ShuttingDown => 503,
@@ -113,7 +118,9 @@
             // The retry opens a new connection, which reaches another instance.
             Self::ShuttingDown | Self::StaleConfiguration => Some(Duration::from_millis(50)),
             Self::NotConfigured => Some(Duration::from_millis(300)),
-            Self::TargetsBusy(wait) | Self::Overloaded(wait) => Some(wait),
+            Self::TargetsBusy(wait) | Self::TargetsAtLimit(wait) | Self::Overloaded(wait) => {
+                Some(wait)
+            }
             // Typical restart time of a target.
             Self::NoTarget => Some(Duration::from_millis(1_000)),
             Self::ContentCrashesEngines | Self::PartCrashesEngines | Self::PromptTooLong => {
--- a/crates/daemon/src/telemetry/trace.rs
+++ b/crates/daemon/src/telemetry/trace.rs
@@ -86,6 +86,13 @@
     },
     /// A target was chosen.
     Placed(Box<PlacementDetails>),
+    /// The limits of all usable targets are reached.
+    AtLimit {
+        /// These targets and their limits.
+        targets: String,
+        /// Time until the first limit allows another request.
+        wait: Duration,
+    },
     /// Memory was reserved on the helpers.
     Reserved {
         /// Number of engines with a reservation.
@@ -144,6 +151,8 @@
     /// Number of targets excluded from the choice because an earlier attempt at them
     /// failed.
     pub excluded: u64,
+    /// Number of targets excluded because their limits are reached.
+    pub at_limit: u64,
     /// Age of the target list.
     pub list_age: Option<Duration>,
     /// Number of peers whose loads are known.
@@ -404,6 +413,14 @@
                 expected_wait.as_millis()
             ),
             TraceEvent::Placed(placement) => write_placed(request, at_unix_ms, placement),
+            TraceEvent::AtLimit { targets, wait } => tracing::info!(
+                event = "at-limit",
+                request,
+                at_unix_ms,
+                targets,
+                wait_ms = millis(*wait),
+                "route: {request} not placed, the limits of its targets are reached: {targets}"
+            ),
             TraceEvent::Reserved {
                 engines,
                 memory,
@@ -500,6 +517,7 @@
         target_failing = placement.target_failure_rate,
         runners_up = placement.runners_up,
         excluded = placement.excluded,
+        at_limit = placement.at_limit,
         list_age_ms = placement.list_age.map(millis),
         peers = placement.peers,
         news_age_ms = millis(placement.peer_load_age),
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -125,6 +125,10 @@
             peers: 4,
         },
         placed_event("t1"),
+        TraceEvent::AtLimit {
+            targets: "t1 2 requests/s".to_owned(),
+            wait: TEST_DURATION,
+        },
         TraceEvent::Reserved {
             engines: 2,
             memory: Tokens(500_000),
@@ -158,6 +162,7 @@
         target_failure_rate: 0.1,
         runners_up: "t2 +1.00".to_owned(),
         excluded: 0,
+        at_limit: 0,
         list_age: Some(TEST_DURATION),
         peers: 4,
         peer_load_age: TEST_DURATION,
@@ -367,8 +372,9 @@
         lines.len()
     );
     let ended = lines.iter().filter(|line| line["event"] == "ended");
+    let event_count = one_event_of_each_kind().len();
     assert!(
-        ended.clone().any(|line| line["left_out"] == 7),
+        ended.clone().any(|line| line["left_out"] == event_count),
         "expected a request whose event lines were all dropped"
     );
     assert!(ended.count() >= 500, "expected at least 500 last lines");
