Log when the store has come back from an older copy

Cause: the logs show a restoration of the store as store-history-gone at most, and not at all at an instance that gets no 410, so they can't tell the hypotheses of the restored store from each other. Change: the adapter decodes the header that counts the restorations; the first response of a watch in a new era logs store-restored. Nothing is decided by it yet.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -109,6 +109,8 @@
     "store-back" ["table", "lost_ms", "failed_calls", "latest_call_ms"]
         "updates of the table can be read again; the latest of its failed calls took `latest_call_ms`";
     "store-history-gone" ["table"] "a table is read in full, as the store no longer has its recent changes";
+    "store-restored" ["era", "before"]
+        "the store has come back from an older copy; what was written after the copy is lost";
     "watch" ["state", "before"]
         "whether the instance watches the store's tables or fetches changes from its peers";
     "peers" ["alive", "before"] "the number of live peers changed";
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -54,7 +54,7 @@
         watchers::Watchers,
     },
 };
-use cyclamengauge_platform::{configuration, settings};
+use cyclamengauge_platform::{configuration, settings, store::StoreEra};
 use tokio::sync::Notify;
 
 pub use requests::handle;
@@ -121,6 +121,8 @@
     /// Fetches from peers that are scheduled or in progress.
     peer_fetches: gossip::FetchesInProgress,
     configuration_watch: Cell<TableWatch>,
+    /// Era of the store in its latest response to a watch; none before the first one.
+    store_era: Cell<Option<StoreEra>>,
     /// Latest failed store call of a watch.
     last_store_failure_at: Cell<Option<Instant>>,
     /// Latest successful store call of a watch, here or at a peer that watches the
@@ -178,6 +180,7 @@
             peers: RefCell::new(peers),
             peer_fetches: gossip::FetchesInProgress::default(),
             configuration_watch: Cell::default(),
+            store_era: Cell::new(None),
             last_store_failure_at: Cell::new(None),
             last_store_success_at: Cell::new(None),
             last_target_list_success_at: Cell::new(None),
@@ -242,6 +245,18 @@
             || last_success_at.is_none_or(|at| now - at > max_age)
     }
 
+    /// Records the era of the store, from a response or from a peer.
+    fn record_store_era(&self, era: StoreEra) {
+        let before = self.store_era.get();
+        if before >= Some(era) {
+            return;
+        }
+        self.store_era.set(Some(era));
+        if let Some(before) = before {
+            process_events::log_store_restored(era.0, before.0);
+        }
+    }
+
     /// Counts a client request for the retry budget and the stream rate.
     fn record_request(&self, request: &exchange::ClientRequest) {
         let now = self.clock.now();
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -20,6 +20,8 @@
 pub struct StoreClient {
     address: SocketAddr,
     connection: Option<Connection>,
+    /// Era of the store in its latest response; none before the first one.
+    era: Option<store::StoreEra>,
 }
 
 impl StoreClient {
@@ -28,9 +30,15 @@
         Self {
             address,
             connection: None,
+            era: None,
         }
     }
 
+    /// Era of the store in its latest response; none before the first one.
+    pub fn era(&self) -> Option<store::StoreEra> {
+        self.era
+    }
+
     /// Reads the next page of a table and appends it to `rows_read`. Returns whether
     /// the table has more pages.
     ///
@@ -140,6 +148,10 @@
         // A connection that lost a response may never deliver another one, so a
         // connection is reused only after a response.
         self.connection = Some(connection);
+        let era = response.headers().get(store::ERA_HEADER);
+        let era = store::parse_era(era.map(|value| value.as_bytes()))
+            .with_context(|| format!("call store {}", self.address))?;
+        self.era = Some(era);
         Ok(response)
     }
 }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -124,6 +124,9 @@
         let started_at = gateway.clock.now();
         let updates =
             fetch_updates(&gateway, &mut client, table, since, feed, &mut rows_read).await;
+        if let Some(era) = client.era() {
+            gateway.record_store_era(era);
+        }
         match updates {
             Ok(version) => {
                 if let Some(outage) = calls.record_success() {
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -250,6 +250,16 @@
     );
 }
 
+/// Logs that the store has come back from an older copy, in era `before`.
+pub fn log_store_restored(era: u64, before: u64) {
+    tracing::warn!(
+        event = "store-restored",
+        era,
+        before,
+        "platform: the store has come back from an older copy, era {era} after {before}"
+    );
+}
+
 /// Logs a change in the number of peers that send gossip messages.
 pub fn log_peers(alive: u32, before: u32) {
     tracing::info!(
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -242,6 +242,7 @@
         };
         process_events::log_store_back(&"targets", &outage, clock::Instant::ZERO + TEST_DURATION);
         process_events::log_store_history_gone(&"targets");
+        process_events::log_store_restored(3, 2);
         process_events::log_watch(WatchState::Fetching, WatchState::Watching);
         process_events::log_peers(4, 3);
         process_events::log_peer_faulty("b", &err);
