Order versions of the store by the era in which it gave them out

Seen in the tests: after the store had come back from an older copy, a target that left still got requests after 3 s, and an instance that was away missed a new route and a removed target. Cause: versions of the store were compared by their number alone. A list that was read after the restoration counted as older and was dropped, until as many versions had been given out again; then a feed from the known version left out what had changed before it, without a 410; and peers took each other's lists for newer. The class: a number that orders events is compared across the end of what it counts in. Change: a version carries the era that the store names in each response, and a later era comes first. A feed that is answered in another era, a page of another era within a read, and a peer's list of an earlier one are not joined to what is known: the table is read in full. Gossip and fetched lists carry the era.

--- a/crates/core/src/serving/target_list.rs
+++ b/crates/core/src/serving/target_list.rs
@@ -3,19 +3,49 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
+    str::FromStr,
 };
 
+use crate::error::Error;
+
 /// Number of removed entries from which they are dropped. A peer that misses one of
 /// them then gets the complete list.
 const MAX_REMOVED_ENTRIES: usize = 1_000;
 
 /// Version of the platform's store at which the target list last changed.
+///
+/// A version of a later era is newer, whatever its number: the store gives out numbers
+/// again after it has come back from an older copy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ListVersion(pub u64);
+pub struct ListVersion {
+    /// Number of times that the store had come back from an older copy.
+    pub era: u64,
+    /// Version of the store in this era.
+    pub number: u64,
+}
 
 impl fmt::Display for ListVersion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
+impl FromStr for ListVersion {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parse = |part: &str| part.parse().ok();
+        let parts = text.split_once('.');
+        let version = parts.and_then(|(era, number)| {
+            Some(Self {
+                era: parse(era)?,
+                number: parse(number)?,
+            })
+        });
+        version.ok_or_else(|| {
+            let expected = format!("expected `ERA.NUMBER`, got `{text}`");
+            Error::new("parse list version", expected)
+        })
     }
 }
 
--- a/crates/daemon/src/gateway/gossip/fetch.rs
+++ b/crates/daemon/src/gateway/gossip/fetch.rs
@@ -142,7 +142,10 @@
     }
     let entries = list.targets.into_iter();
     Ok(ListChanges {
-        version: ListVersion(list.version),
+        version: ListVersion {
+            era: list.era,
+            number: list.version,
+        },
         is_complete: !list.changes_only,
         entries: entries.map(|target| (target.key, target.entry)).collect(),
     })
@@ -155,7 +158,8 @@
     let now = gateway.clock.now();
     let last_failure_at = gateway.last_store_failure_at.get();
     v1::TargetList {
-        version: changes.version.0,
+        version: changes.version.number,
+        era: changes.version.era,
         targets: entries
             .map(|(key, entry)| v1::ListedTarget { key, entry })
             .collect(),
@@ -194,8 +198,9 @@
         CONFIGURATION_PATH if !stored.is_empty() => server::json(200, stored),
         TARGETS_PATH if gateway.target_list_loaded.get() => {
             let since = request.uri().query().and_then(|query| query.parse().ok());
-            let since = ListVersion(since.unwrap_or_default());
-            server::json(200, target_list(&gateway, since).encode_to_vec())
+            let since: Option<ListVersion> = since;
+            let list = target_list(&gateway, since.unwrap_or_default());
+            server::json(200, list.encode_to_vec())
         }
         _ => server::text(404, "not found\n"),
     }
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -10,6 +10,7 @@
         dissemination::DueMessage,
         prompt_parts::{EngineCrash, PartReport},
         queue::QueuedPrompt,
+        target_list::ListVersion,
         targets::{Load, LoadReport, limits::LimitReport},
         watchers::WatchState,
     },
@@ -57,6 +58,7 @@
     let queued_prompts = gateway.queue.borrow().local_prompts(now);
     let leaving = targets.leaving(now);
     let crashes = gateway.crashes.borrow().recent(MAX_REPORTED_CRASH_AGE, now);
+    let list_version = gateway.target_list.borrow().version();
     let prompt_parts = gateway.prompt_parts.borrow();
     let parts = match message {
         DueMessage::Changes => prompt_parts.recent_reports(MAX_REPORTED_PART_AGE, now),
@@ -72,7 +74,8 @@
         crashes: crashes.into_iter().map(encode_crashes).collect(),
         waiting: queued_prompts.iter().map(encode_queued_prompt).collect(),
         leaving: leaving.iter().map(encode_leaving).collect(),
-        list_version: gateway.target_list.borrow().version().0,
+        list_version: list_version.number,
+        list_era: list_version.era,
         changes_only: message == DueMessage::Changes,
         data_centre: settings.data_centre.to_string(),
         forward: false,
@@ -128,6 +131,14 @@
     (EngineId::new(&load.target), decoded)
 }
 
+/// Decodes the version of a peer's target list.
+pub(super) fn decode_list_version(gossip: &v1::Gossip) -> ListVersion {
+    ListVersion {
+        era: gossip.list_era,
+        number: gossip.list_version,
+    }
+}
+
 fn encode_watch_state(state: WatchState) -> v1::WatchState {
     match state {
         WatchState::Watching => v1::WatchState::Watching,
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -21,7 +21,6 @@
     serving::{
         dissemination::DueMessage,
         peers::{MessageNumber, Reception, Recipient, Sender},
-        target_list::ListVersion,
         targets::limits::LimitReport,
         watchers::WatchState,
     },
@@ -237,7 +236,7 @@
         is_local: gossip.data_centre == gateway.settings.borrow().data_centre.as_str(),
         watch_state,
         configuration_version: gossip.configuration_version,
-        list_version: ListVersion(gossip.list_version),
+        list_version: messages::decode_list_version(gossip),
     };
     fetch::schedule_fetch(gateway, peer);
 }
@@ -268,7 +267,7 @@
     let mut watchers = gateway.watchers.borrow_mut();
     watchers.record(instance.clone(), data_centre, state, now);
     let is_up_to_date = gossip.configuration_version <= gateway.configuration_version()
-        && gossip.list_version <= gateway.target_list.borrow().version().0;
+        && messages::decode_list_version(gossip) <= gateway.target_list.borrow().version();
     if let Some(age_ms) = gossip.store_success_age_ms
         && state == WatchState::Watching
         && is_up_to_date
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -16,6 +16,13 @@
 /// far below the apply limit of configurations.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// A response of the store.
+struct StoreResponse {
+    response: Response<Bytes>,
+    /// Era of the store when it responded.
+    era: store::StoreEra,
+}
+
 /// Store client; makes one call at a time.
 pub struct StoreClient {
     address: SocketAddr,
@@ -61,7 +68,16 @@
         // The page starts with the last row read; reading a row twice is harmless.
         let path = store::read_path(table, last.map(|row| row.key.as_str()));
         let response = self.call(Method::GET, &path, Bytes::new(), timeout).await?;
-        let page = store::decode_rows(&success_body(response, "read a table page")?)?;
+        let era = response.era;
+        let page = store::decode_rows(&success_body(response, "read a table page")?, era)?;
+        if rows_read
+            .as_ref()
+            .is_some_and(|rows| rows.version.era != era)
+        {
+            // The earlier pages are from before a restoration of the store.
+            *rows_read = None;
+            return Ok(true);
+        }
         let has_more = page.has_more && page.rows.len() > 1;
         match rows_read {
             None => *rows_read = Some(page),
@@ -71,7 +87,8 @@
     }
 
     /// Waits for changes of a table after the version `since`. `None` if the store no
-    /// longer has the changes since then, and the table must be read in full.
+    /// longer has the changes since then, or has come back from an older copy and may have
+    /// given out the version again: the table must be read in full.
     ///
     /// # Errors
     ///
@@ -87,10 +104,14 @@
         let response = self
             .call(Method::GET, &path, Bytes::new(), feed.timeout)
             .await?;
-        if response.status().as_u16() == store::HISTORY_GONE_STATUS {
+        let era = response.era;
+        let status = response.response.status();
+        if status.as_u16() == store::HISTORY_GONE_STATUS
+            || (status.is_success() && era != since.era)
+        {
             return Ok(None);
         }
-        store::decode_rows(&success_body(response, "wait for table changes")?).map(Some)
+        store::decode_rows(&success_body(response, "wait for table changes")?, era).map(Some)
     }
 
     /// Runs a transaction that writes rows; `body` is its encoded form.
@@ -117,7 +138,7 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> anyhow::Result<Response<Bytes>> {
+    ) -> anyhow::Result<StoreResponse> {
         let mut connection = match self.connection.take().filter(Connection::is_open) {
             Some(connection) => connection,
             None => Connection::open(self.address, CONNECT_TIMEOUT).await?,
@@ -152,11 +173,12 @@
         let era = store::parse_era(era.map(|value| value.as_bytes()))
             .with_context(|| format!("call store {}", self.address))?;
         self.era = Some(era);
-        Ok(response)
+        Ok(StoreResponse { response, era })
     }
 }
 
-fn success_body(response: Response<Bytes>, step: &str) -> anyhow::Result<Bytes> {
+fn success_body(response: StoreResponse, step: &str) -> anyhow::Result<Bytes> {
+    let response = response.response;
     let status = response.status();
     anyhow::ensure!(
         status.is_success(),
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -250,7 +250,11 @@
         return Ok(Some(version));
     };
     // Changes that a peer has passed on need not be read again.
-    let list_version = store::StoreVersion(gateway.target_list.borrow().version().0);
+    let list_version = gateway.target_list.borrow().version();
+    let list_version = store::StoreVersion {
+        era: store::StoreEra(list_version.era),
+        number: list_version.number,
+    };
     let since = match table {
         store::Table::Targets => since.max(list_version),
         store::Table::Operators | store::Table::Instances | store::Table::RefusedParts => since,
@@ -281,7 +285,10 @@
         store::Table::Targets => {
             let entries = rows.rows.into_iter().map(|row| (row.key, row.value));
             let changes = ListChanges {
-                version: ListVersion(rows.version.0),
+                version: ListVersion {
+                    era: rows.version.era.0,
+                    number: rows.version.number,
+                },
                 is_complete,
                 entries: entries.collect(),
             };
