Write rows again that a restored store has lost

Seen in the tests: after the store had come back from an older copy, the row with an instance's address was lost for good, and so was a refused prompt part: instances that start later don't find this one, and after the loss of all of them send the part to engines again. Cause: rows are written once, as the store loses nothing that it has acknowledged; that holds only within an era. The class: a confirmation is taken to hold for good, though its giver may go back behind it. Change: an instance that learns of a later era, from a call of its own or from a peer, writes its address and the refused parts that the store lacks again, after up to 500 ms, and reads both tables; a part that the copy refuses and that was cleared since is cleared again.

--- a/crates/core/src/serving/prompt_parts.rs
+++ b/crates/core/src/serving/prompt_parts.rs
@@ -197,6 +197,25 @@
         parts.iter().find(|part| self.refused.contains(*part))
     }
 
+    /// The refused parts, each with the time of its latest crash.
+    pub fn refusals(&self) -> Vec<(PromptPartId, Instant)> {
+        let refused = self.refused.iter().map(|part| {
+            let crashes = self.suspects.get(part).map(|suspect| &suspect.crashes);
+            let latest = crashes.and_then(|crashes| crashes.values().max().copied());
+            let restored = self.restored.get(part).map(|until| {
+                let age = until.since_start().saturating_sub(CRASH_RETENTION);
+                Instant::from_start(age)
+            });
+            (part.clone(), latest.max(restored).unwrap_or_default())
+        });
+        refused.collect()
+    }
+
+    /// Whether a part is not refused and a request with it has completed.
+    pub fn is_cleared(&self, part: &PromptPartId) -> bool {
+        !self.refused.contains(part) && self.completed_at.contains_key(part)
+    }
+
     /// Number of parts that are refused.
     pub fn refused_count(&self) -> usize {
         self.refused.len()
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -26,6 +26,7 @@
     },
     text::SmolStr,
 };
+use cyclamengauge_platform::store::StoreEra;
 use cyclamengauge_schema::v1;
 use prost::Message;
 
@@ -230,6 +231,10 @@
         record_crashes(gateway, content, now);
     }
     record_parts(gateway, gossip, now);
+    // Before it has a list, a peer does not know the era.
+    if gossip.list_era > 0 {
+        gateway.record_store_era(StoreEra(gossip.list_era));
+    }
     let watch_state = record_watch_state(gateway, &instance, gossip, now);
     let peer = fetch::Peer {
         address,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -121,8 +121,10 @@
     /// Fetches from peers that are scheduled or in progress.
     peer_fetches: gossip::FetchesInProgress,
     configuration_watch: Cell<TableWatch>,
-    /// Era of the store in its latest response to a watch; none before the first one.
+    /// Latest era of the store that a watch or a peer has seen; none before the first one.
     store_era: Cell<Option<StoreEra>>,
+    /// Notified when the store has come back from an older copy.
+    store_era_changed: Notify,
     /// Latest failed store call of a watch.
     last_store_failure_at: Cell<Option<Instant>>,
     /// Latest successful store call of a watch, here or at a peer that watches the
@@ -181,6 +183,7 @@
             peer_fetches: gossip::FetchesInProgress::default(),
             configuration_watch: Cell::default(),
             store_era: Cell::new(None),
+            store_era_changed: Notify::new(),
             last_store_failure_at: Cell::new(None),
             last_store_success_at: Cell::new(None),
             last_target_list_success_at: Cell::new(None),
@@ -252,6 +255,7 @@
             return;
         }
         self.store_era.set(Some(era));
+        self.store_era_changed.notify_waiters();
         if let Some(before) = before {
             process_events::log_store_restored(era.0, before.0);
         }
--- a/crates/daemon/src/gateway/refused_parts.rs
+++ b/crates/daemon/src/gateway/refused_parts.rs
@@ -1,7 +1,7 @@
 //! Rows in the platform's store of the prompt parts that are refused, so that they
 //! survive the loss of all instances.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use cyclamengauge_core::{
     ids::PromptPartId,
@@ -22,8 +22,28 @@
 /// the part, and write the row, too, if they saw a crash.
 const MAX_WRITE_CALLS: u32 = 20;
 
-/// Reads the refused parts at the start of the process. Failed calls are retried.
-pub async fn load(gateway: Rc<Gateway>) {
+/// Reads the refused parts at the start of the process, and writes them again whenever the
+/// store has come back from an older copy.
+pub async fn keep_stored(gateway: Rc<Gateway>) {
+    let (mut era, _) = load(&gateway).await;
+    loop {
+        watch::wait_for_later_era(&gateway, era).await;
+        let stored;
+        (era, stored) = load(&gateway).await;
+        let refusals = gateway.prompt_parts.borrow().refusals();
+        for (part, refused_at) in refusals {
+            if !stored.contains(&part) {
+                let age = gateway.clock.now() - refused_at;
+                let refused_at_unix_ms = node::unix_ms().saturating_sub(age.as_millis() as u64);
+                write_row(&gateway, part, refused_at_unix_ms);
+            }
+        }
+    }
+}
+
+/// Reads the rows and refuses their parts. Returns the era of the store and the parts that
+/// its rows refuse. Failed calls are retried.
+async fn load(gateway: &Rc<Gateway>) -> (store::StoreEra, BTreeSet<PromptPartId>) {
     let mut client = StoreClient::new(gateway.settings.borrow().store_address);
     let mut calls = StoreCalls::default();
     let mut rows_read = None;
@@ -38,17 +58,27 @@
             Ok(false) => break,
             Err(err) => {
                 process_events::log_refused_parts_failed("read", &err);
-                watch::back_off(&gateway, &mut calls).await;
+                watch::back_off(gateway, &mut calls).await;
             }
         }
     }
+    let mut stored = BTreeSet::new();
     for row in rows_read.into_iter().flat_map(|rows| rows.rows) {
         let Some(value) = row.value else { continue };
         match discovery::decode_refused_part(&row.key, &value) {
-            Ok((part, refused_at_unix_ms)) => restore(&gateway, part, refused_at_unix_ms),
+            Ok((_, 0)) => {}
+            // The store has lost that the part is allowed again.
+            Ok((part, _)) if gateway.prompt_parts.borrow().is_cleared(&part) => {
+                write_row(gateway, part, 0);
+            }
+            Ok((part, refused_at_unix_ms)) => {
+                restore(gateway, part.clone(), refused_at_unix_ms);
+                stored.insert(part);
+            }
             Err(err) => process_events::log_refused_parts_failed("decode", &err),
         }
     }
+    (client.era().unwrap_or_default(), stored)
 }
 
 fn restore(gateway: &Gateway, part: PromptPartId, refused_at_unix_ms: u64) {
@@ -57,9 +87,16 @@
     if remaining.is_zero() {
         return;
     }
+    let mut prompt_parts = gateway.prompt_parts.borrow_mut();
+    if prompt_parts
+        .find_refused(std::slice::from_ref(&part))
+        .is_some()
+    {
+        return;
+    }
     process_events::log_part_refused(&part, "the store");
     let until = gateway.clock.now() + remaining;
-    gateway.prompt_parts.borrow_mut().restore(part, until);
+    prompt_parts.restore(part, until);
 }
 
 /// Logs which parts are refused or allowed from now on, and writes their rows if this
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -140,8 +140,8 @@
     }));
     actix_rt::spawn(watch::watch_configuration(Rc::clone(gateway)));
     actix_rt::spawn(watch::watch_targets(Rc::clone(gateway)));
-    actix_rt::spawn(watch::announce_and_find_peers(Rc::clone(gateway)));
-    actix_rt::spawn(refused_parts::load(Rc::clone(gateway)));
+    actix_rt::spawn(watch::keep_announced(Rc::clone(gateway)));
+    actix_rt::spawn(refused_parts::keep_stored(Rc::clone(gateway)));
     actix_rt::spawn(log_placements(Rc::clone(gateway)));
     actix_rt::spawn(gossip::send_messages(
         Rc::clone(gateway),
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -33,6 +33,9 @@
 /// again: the time in the platform's documentation and a margin.
 const ENTRY_RECOVERY_TIME: Duration = Duration::from_millis(2_200);
 
+/// Longest delay after a restoration of the store before an instance writes its rows again.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(500);
+
 /// Value of the log field `source` for data from the store.
 const STORE_SOURCE: &str = "the store";
 
@@ -47,14 +50,38 @@
 }
 
 /// Writes this instance's peer address to the store, then reads those of the other
-/// instances. Failed calls are retried.
-pub async fn announce_and_find_peers(gateway: Rc<Gateway>) {
+/// instances; again whenever the store has come back from an older copy. Failed calls are
+/// retried.
+pub async fn keep_announced(gateway: Rc<Gateway>) {
     let mut client = StoreClient::new(gateway.settings.borrow().store_address);
     let mut calls = StoreCalls::default();
-    while let Err(err) = announce(&gateway, &mut client).await {
-        process_events::log_announce_failed(&err);
-        back_off(&gateway, &mut calls).await;
+    loop {
+        while let Err(err) = announce(&gateway, &mut client).await {
+            process_events::log_announce_failed(&err);
+            back_off(&gateway, &mut calls).await;
+        }
+        let announced_in = client.era().unwrap_or_default();
+        find_peers(&gateway, &mut client, &mut calls).await;
+        wait_for_later_era(&gateway, announced_in).await;
+    }
+}
+
+/// Waits until the store is in a later era than `era`, and then for a random time, so that
+/// not all instances write their rows at the same moment.
+pub async fn wait_for_later_era(gateway: &Gateway, era: store::StoreEra) {
+    loop {
+        let changed = gateway.store_era_changed.notified();
+        if gateway.store_era.get() > Some(era) {
+            break;
+        }
+        changed.await;
     }
+    let draw = gateway.rng.borrow_mut().f64();
+    actix_rt::time::sleep(MAX_REWRITE_DELAY.mul_f64(draw)).await;
+}
+
+/// Reads the peer addresses of the other instances.
+async fn find_peers(gateway: &Gateway, client: &mut StoreClient, calls: &mut StoreCalls) {
     let mut rows_read = None;
     loop {
         let table = store::Table::Instances;
@@ -64,7 +91,7 @@
         {
             Ok(has_more) => {
                 if let Some(rows) = &rows_read {
-                    add_peers(&gateway, rows);
+                    add_peers(gateway, rows);
                 }
                 if !has_more {
                     return;
@@ -72,7 +99,7 @@
             }
             Err(err) => {
                 process_events::log_announce_failed(&err.context("read peer addresses"));
-                back_off(&gateway, &mut calls).await;
+                back_off(gateway, calls).await;
             }
         }
     }
