Keep what targets have said since a copy that the store restored

Seen in the tests, once a restored list is read at all: a target that drains and one that has left got 69 requests in 3 s. Cause: an entry of the copy is taken for the latest word of its target. The class: the latest thing that was read counts as the latest thing that happened. Change: for the first list of an era, a process of a target that drains goes on draining, and one that has left is excluded for the lifetime of an entry, in which the store removes the entry unless the target writes it again; an entry of an earlier process than the known one is ignored.

--- a/crates/core/src/serving/targets/mod.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod limits;
 mod load;
+mod restored;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -19,6 +20,7 @@
 use limits::TargetLimits;
 use load::PeerLoads;
 pub use load::{Load, LoadReport};
+use restored::Departure;
 
 /// Exclusion after the first request without a response; doubles with each
 /// further one.
@@ -135,6 +137,8 @@
     removed_at: Option<Instant>,
     suspect_until: Option<Instant>,
     leaving_until: Option<Instant>,
+    /// Time until which only a restored entry lists the target.
+    unconfirmed_until: Option<Instant>,
     /// Requests without a response since the last served one.
     unanswered_requests: u32,
     failure_rate: f64,
@@ -150,6 +154,8 @@
     targets: BTreeMap<EngineId, Target>,
     in_flight: BTreeMap<InFlightId, InFlightRequest>,
     last_id: u64,
+    /// Targets whose entries were removed lately.
+    departures: HashMap<EngineId, Departure>,
     /// Targets on which this instance's load changed since the changes were last taken.
     changed: BTreeSet<EngineId>,
     peers: HashMap<InstanceId, PeerLoads>,
@@ -179,10 +185,12 @@
     /// Adds or updates a target from its entry. If the target's process was
     /// restarted, its failure rate, exclusions and limit are reset.
     pub fn upsert(&mut self, facts: TargetFacts, now: Instant) {
+        self.departures.remove(&facts.id);
         match self.targets.get_mut(&facts.id) {
             Some(known) if known.facts.started_unix_ms == facts.started_unix_ms => {
                 known.facts = facts;
                 known.removed_at = None;
+                known.unconfirmed_until = None;
             }
             _ => {
                 let target = Target::new(facts, now);
@@ -198,6 +206,8 @@
         if let Some(target) = self.targets.get_mut(id) {
             let at = now + linger;
             target.removed_at = Some(target.removed_at.map_or(at, |known| known.min(at)));
+            let facts = target.facts.clone();
+            self.record_departure(&facts, now);
         }
     }
 
@@ -211,6 +221,7 @@
         self.targets
             .retain(|id, target| !target.is_removed(now) || in_use(id));
         self.peers.retain(|_, peer| peer.is_recent(now));
+        self.remove_expired_departures(now);
         let targets = &self.targets;
         self.limits
             .remove_expired(|id| targets.contains_key(id), now);
@@ -475,8 +486,8 @@
         targets
     }
 
-    /// Targets of a service that are neither suspect nor leaving. If every target is one
-    /// or the other, these exclusions are ignored.
+    /// Targets of a service that are not excluded for a time. If every target is, these
+    /// exclusions are ignored.
     fn eligible(&self, service: &ServiceId, excluded: &[EngineId], now: Instant) -> Vec<&Target> {
         let candidates = self.targets.values().filter(|target| {
             &target.facts.service == service
@@ -488,7 +499,7 @@
         let healthy: Vec<&Target> = candidates
             .iter()
             .copied()
-            .filter(|target| !target.is_suspect(now) && !target.is_leaving(now))
+            .filter(|target| !target.is_excluded(now))
             .collect();
         if healthy.is_empty() {
             candidates
@@ -518,6 +529,7 @@
             removed_at: None,
             suspect_until: None,
             leaving_until: None,
+            unconfirmed_until: None,
             unanswered_requests: 0,
             failure_rate: 0.0,
             failure_rate_at: now,
@@ -547,6 +559,10 @@
         self.leaving_until.is_some_and(|until| now < until)
     }
 
+    fn is_excluded(&self, now: Instant) -> bool {
+        self.is_suspect(now) || self.is_leaving(now) || self.is_unconfirmed(now)
+    }
+
     fn is_removed(&self, now: Instant) -> bool {
         self.removed_at.is_some_and(|at| now >= at)
     }
--- a/crates/core/tests/serving/targets.rs
+++ b/crates/core/tests/serving/targets.rs
@@ -8,7 +8,7 @@
     units::Tokens,
 };
 
-use crate::fleet::{ENGINES, facts, id, ms, targets};
+use crate::fleet::{ENGINES, address, facts, id, ms, targets};
 
 fn usable_count(targets: &Targets, at_ms: u64) -> usize {
     targets
@@ -333,3 +333,41 @@
     report(&mut other, "a", 2, false, changed, 1_500);
     assert_eq!(other.load(&id(1), ms(1_500)).backlog, Duration::ZERO);
 }
+
+/// Guards against a restored list that undoes what targets have said since: one drains,
+/// one has left, and one has started again.
+#[test]
+fn entries_of_a_restored_list_do_not_undo_later_ones() {
+    const ENTRY_LIFETIME: Duration = Duration::from_secs(4);
+    let mut targets = targets();
+    let service = facts(0).service;
+    let is_usable = |targets: &Targets, number, at_ms| {
+        let usable = targets.usable(&service, &[], ms(at_ms));
+        usable.iter().any(|target| target.facts.id == id(number))
+    };
+    let restarted = TargetFacts {
+        address: address(200),
+        started_unix_ms: 7,
+        ..facts(3)
+    };
+    let draining = TargetFacts {
+        draining: true,
+        ..facts(1)
+    };
+    targets.upsert(draining, ms(1_000));
+    targets.schedule_removal(&id(2), Duration::ZERO, ms(1_000));
+    targets.remove_expired(ms(1_500));
+    targets.upsert(restarted.clone(), ms(1_500));
+    for number in 0..4 {
+        targets.upsert_restored(facts(number), ENTRY_LIFETIME, ms(2_000));
+    }
+    assert!(is_usable(&targets, 0, 2_000));
+    assert!(!is_usable(&targets, 1, 60_000));
+    assert!(!is_usable(&targets, 2, 5_900));
+    assert!(is_usable(&targets, 2, 6_100));
+    assert_eq!(targets.get(&id(3)).unwrap().facts, restarted);
+
+    // A target that writes its entry again is usable at once.
+    targets.upsert(facts(2), ms(2_100));
+    assert!(is_usable(&targets, 2, 2_100));
+}
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -33,6 +33,9 @@
 /// again: the time in the platform's documentation and a margin.
 const ENTRY_RECOVERY_TIME: Duration = Duration::from_millis(2_200);
 
+/// Time beyond the lifetime of an entry in which its removal by the store is known here.
+const ENTRY_EXPIRY_MARGIN: Duration = Duration::from_millis(1_000);
+
 /// Longest delay after a restoration of the store before an instance writes its rows again.
 const MAX_REWRITE_DELAY: Duration = Duration::from_millis(500);
 
@@ -336,9 +339,11 @@
 
 /// Applies a complete target list or its changes, from the store or from a peer.
 pub fn apply_target_list(gateway: &Gateway, changes: ListChanges, source: &str) {
+    let known = gateway.target_list.borrow().version();
+    let is_restored = gateway.target_list_loaded.get() && changes.version.era > known.era;
     let changed = gateway.target_list.borrow_mut().apply(changes);
     for (key, value) in &changed {
-        apply_target_entry(gateway, key, value.as_deref(), source);
+        apply_target_entry(gateway, key, value.as_deref(), is_restored, source);
     }
     gateway.target_list_loaded.set(true);
     if !changed.is_empty() {
@@ -346,7 +351,15 @@
     }
 }
 
-fn apply_target_entry(gateway: &Gateway, key: &str, value: Option<&[u8]>, source: &str) {
+/// Applies an entry, or its removal. `is_restored` says whether the store has restored the
+/// list from an older copy since the previous one.
+fn apply_target_entry(
+    gateway: &Gateway,
+    key: &str,
+    value: Option<&[u8]>,
+    is_restored: bool,
+    source: &str,
+) {
     let now = gateway.clock.now();
     let id = EngineId::new(key);
     let Some(value) = value else {
@@ -360,7 +373,13 @@
             if previous != Some(&facts) {
                 process_events::log_target_listed(&facts, source);
             }
-            targets.upsert(facts, now);
+            match is_restored {
+                true => {
+                    let entry_lifetime = gateway.settings.borrow().entry_lifetime;
+                    targets.upsert_restored(facts, entry_lifetime + ENTRY_EXPIRY_MARGIN, now);
+                }
+                false => targets.upsert(facts, now),
+            }
         }
         Err(err) => {
             process_events::log_target_entry_faulty(key, &err);
