Let the gateway's clock express times before the start of the process

Seen: an instance that starts while the store is away sends a prompt part to engines that its peers refuse. Cause: peers report ages, and times before the start of the process were cut to its start, so that all crashes seemed to be of one moment and refused nothing. The class: a value that can't be expressed is replaced by the nearest one; the limits of targets, which also compare such times, would have been concerned. Change: the clock of the gateway starts at one hour instead of zero; the seeds' ages and the gauges count from the start of the process.

--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -66,7 +66,7 @@
     ];
     for (table, at) in last_successes {
         // Before the first successful call, the age is the uptime.
-        let age = now - at.unwrap_or(Instant::ZERO);
+        let age = now - at.unwrap_or(gateway.started_at);
         metrics::gauge!("cyclamengauge_store_age_seconds", "table" => table).set(age.as_secs_f64());
     }
     update_services(gateway, now);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -70,6 +70,10 @@
 /// configurations, after which this instance may have missed a change.
 const STALE_CONFIGURATION_MARGIN: Duration = Duration::from_millis(2_500);
 
+/// Age up to which peers report events. The clock must be able to express their times,
+/// also if they are before the start of this process.
+const REPORTED_PAST: Duration = Duration::from_secs(3_600);
+
 /// State of this instance's watch of a table.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum TableWatch {
@@ -86,8 +90,10 @@
 pub struct Gateway {
     /// Settings of this process.
     pub settings: RefCell<settings::Settings>,
-    /// Monotonic clock, zero at the start of the process.
+    /// Monotonic clock; [`REPORTED_PAST`] at the start of the process.
     pub clock: Clock,
+    /// Start of the process.
+    started_at: Instant,
     /// Start of this process, in µs since the Unix epoch.
     pub incarnation: u64,
     /// Route table of the configuration in force; none before the first one.
@@ -154,17 +160,19 @@
     /// seed addresses of `settings` are the first peers.
     pub fn new(settings: settings::Settings, incarnation: u64) -> Self {
         let retry_budget = RetryBudget::new(retry_limits(&settings));
+        let clock = Clock::start_with_past(REPORTED_PAST);
+        let started_at = clock.now();
         let mut peers = Peers::default();
         for seed in &settings.seeds {
-            peers.add_address(*seed, Instant::ZERO);
+            peers.add_address(*seed, started_at);
         }
-        let clock = Clock::start();
         Self {
             request_log: Rc::new(RequestLog::new(clock)),
             clock,
+            started_at,
             incarnation,
             route_table: RefCell::default(),
-            configuration_applied_at: Cell::default(),
+            configuration_applied_at: Cell::new(started_at),
             stored_configuration: RefCell::default(),
             target_list: RefCell::default(),
             target_list_watch: Cell::default(),
--- a/crates/daemon/src/node/time.rs
+++ b/crates/daemon/src/node/time.rs
@@ -4,23 +4,32 @@
 
 use cyclamengauge_core::clock::Instant;
 
-/// Monotonic clock with its origin at the start of the process.
+/// Monotonic clock with its origin at the start of the process, or before it.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     started_at: std::time::Instant,
+    /// Time from the origin to the start.
+    past: Duration,
 }
 
 impl Clock {
     /// Creates a clock that starts at zero.
     pub fn start() -> Self {
+        Self::start_with_past(Duration::ZERO)
+    }
+
+    /// Creates a clock that starts at `past`, so that it can express the times of events
+    /// up to this long before the start.
+    pub fn start_with_past(past: Duration) -> Self {
         Self {
             started_at: std::time::Instant::now(),
+            past,
         }
     }
 
-    /// Time since the clock's start.
+    /// Time since the clock's origin.
     pub fn now(&self) -> Instant {
-        Instant::from_start(self.started_at.elapsed())
+        Instant::from_start(self.past + self.started_at.elapsed())
     }
 
     /// Time left until `at`; zero once it has passed.
