Let the soak's targets name limits and its store come back older

Cause: the soak knew neither limits of targets nor a store that comes back from an older copy. Change: targets name, change and withdraw limits at random; the store is copied and comes back from the copy, after which the operator and the targets write again what it has lost. After the faults, with clients still sending: two targets name 1 and 6 requests a second and get no more than the users allow in any 4 s, withdrawn limits are no longer kept, and the store has the address of every daemon. The draws of a seed differ from before.

--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -70,7 +70,7 @@
         let (fault, daemon, pause_ms) = {
             let mut rng = testbed.rng.borrow_mut();
             (
-                rng.u32(..17),
+                rng.u32(..21),
                 rng.usize(..testbed.store_proxies.len()),
                 rng.u64(50..500),
             )
@@ -102,6 +102,15 @@
             }
             13..15 => testbed.refuse_all.set(true),
             15 => testbed.refuse_all.set(false),
+            16 | 17 => {
+                let mut rng = testbed.rng.borrow_mut();
+                let limit = (rng.u32(..3) > 0).then(|| rng.u32(1..30));
+                testbed.targets[rng.usize(..TARGET_COUNT)]
+                    .limit_per_s
+                    .set(limit);
+            }
+            18 => *testbed.store_copy.borrow_mut() = Some(testbed.store.copy()),
+            19 => restore_store(testbed, version),
             _ => {
                 version += 1;
                 testbed
@@ -116,6 +125,20 @@
     version
 }
 
+/// Lets the store come back from its copy. The operator and the targets write again what it
+/// has lost.
+fn restore_store(testbed: &Testbed, version: u64) {
+    let Some(copy) = testbed.store_copy.take() else {
+        return;
+    };
+    testbed.store.restore(&copy);
+    let configuration = harness::configuration(version);
+    testbed.store.put("op", "config", &configuration);
+    for (target, proxy) in testbed.targets.iter().zip(&testbed.target_proxies) {
+        harness::register_at(&testbed.store, &target.id, proxy.address, "ready");
+    }
+}
+
 /// Clears all faults and restarts the daemons that have ended.
 pub fn clear(testbed: &Testbed) {
     testbed.refuse_all.set(false);
@@ -126,6 +149,7 @@
     for (i, target) in testbed.targets.iter().enumerate() {
         let refuse_all = Rc::clone(&testbed.refuse_all);
         target.set_script(Some(target_script(i as u64, false, refuse_all)));
+        target.limit_per_s.set(None);
     }
     for daemon in 0..testbed.store_proxies.len() {
         send_signal(testbed, daemon, Signal::SIGCONT);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -1,8 +1,8 @@
 //! Soak test: random faults, drawn by seed, against real daemon processes.
 //!
 //! Signals terminate, pause and kill daemons, and ended daemons are restarted. The
-//! store refuses calls or does not respond. Targets return invalid responses, hang or
-//! refuse requests. Proxies impair the connections of daemons to targets and of single
+//! store refuses calls, does not respond or comes back from an older copy. Targets return
+//! invalid responses, hang, refuse requests or name limits. Proxies impair the connections of daemons to targets and of single
 //! daemons to the store. Faults overlap. The test checks the responses that clients
 //! receive and the requests that targets receive and execute.
 //!
@@ -64,6 +64,8 @@
     /// `store_proxies[i]` carries the store connections of `processes[i]`.
     store_proxies: Vec<Rc<Proxy>>,
     store: Rc<store::Store>,
+    /// State of the store to which it may come back.
+    store_copy: RefCell<Option<store::Copy>>,
     rng: RefCell<fastrand::Rng>,
     /// Whether every target refuses every request; shared with the target scripts.
     refuse_all: Rc<Cell<bool>>,
@@ -97,6 +99,7 @@
     let version = faults::inject(&testbed, FAULT_PHASE_DURATION).await;
     faults::clear(&testbed);
     wait_until_all_serve(&testbed).await;
+    recovery::check_limits(&testbed).await;
     testbed.clients_running.set(false);
     let mut outcomes = Vec::new();
     for client in clients {
@@ -135,6 +138,7 @@
         target_proxies,
         store_proxies,
         store,
+        store_copy: RefCell::default(),
         rng: RefCell::new(fastrand::Rng::with_seed(seed)),
         refuse_all,
         clients_running: Cell::new(true),
--- a/crates/daemon/tests/soak/recovery.rs
+++ b/crates/daemon/tests/soak/recovery.rs
@@ -1,5 +1,6 @@
-//! Checks after the faults are cleared: no connection leaks, and every daemon applies
-//! changes of the configuration and of the target list.
+//! Checks after the faults are cleared: limits of targets are kept, no connection leaks,
+//! every daemon applies changes of the configuration and of the target list, and the store
+//! has every daemon's address.
 //!
 //! `RECOVERY_TIMEOUT` only stops a run that would not end; it is not a requirement on
 //! the time of recovery.
@@ -14,6 +15,51 @@
 /// target.
 const DRAIN_PROBE_COUNT: usize = 30;
 
+/// Time after a target has named a limit from which its requests count.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Window in which the requests to a limited target count.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Limits that two targets name.
+const LIMITS_PER_S: [u32; 2] = [1, 6];
+
+/// Checks, while clients send requests, that limited targets get no more requests than
+/// their limits allow, and that limits are no longer kept once they are withdrawn.
+pub async fn check_limits(testbed: &Testbed) {
+    for (target, limit) in testbed.targets.iter().zip(LIMITS_PER_S) {
+        target.limit_per_s.set(Some(limit));
+    }
+    for target in &testbed.targets[..LIMITS_PER_S.len()] {
+        let before = target.request_count();
+        wait_until(testbed, "limited target gets no requests", || async {
+            target.request_count() > before
+        })
+        .await;
+    }
+    actix_rt::time::sleep(CONTACT_TIME).await;
+    let since = tokio::time::Instant::now();
+    actix_rt::time::sleep(LIMIT_WINDOW + Duration::from_secs(1)).await;
+    for (target, limit) in testbed.targets.iter().zip(LIMITS_PER_S) {
+        let allowed = 1.5 * f64::from(limit) * LIMIT_WINDOW.as_secs_f64() + 5.0;
+        let most = target.most_arrivals(LIMIT_WINDOW, since);
+        assert!(
+            most as f64 <= allowed,
+            "{}: {most} requests in {LIMIT_WINDOW:?}, limit {limit} per second",
+            target.id
+        );
+        target.limit_per_s.set(None);
+    }
+    for target in &testbed.targets[..LIMITS_PER_S.len()] {
+        wait_until(testbed, "withdrawn limit is kept", || async {
+            let before = target.request_count();
+            actix_rt::time::sleep(Duration::from_secs(1)).await;
+            target.request_count() - before > 2 * LIMITS_PER_S[1] as usize
+        })
+        .await;
+    }
+}
+
 /// Checks that no connection to a target leaks, that a configuration of version
 /// `version` takes effect, and that a draining target gets no requests.
 pub async fn check(testbed: &Testbed, version: u64) {
@@ -44,6 +90,15 @@
         })
         .await;
     }
+    for daemon in 0..addresses.len() {
+        let key = format!("d{daemon}");
+        wait_until(
+            testbed,
+            "row with a daemon's address is missing",
+            || async { testbed.store.has_row("cyclamengauge-instances", &key) },
+        )
+        .await;
+    }
     let draining = &testbed.targets[0];
     let proxy = testbed.target_proxies[0].address;
     harness::register_at(&testbed.store, &draining.id, proxy, "draining");
