Lose changes that the daemons have read in the soak's last restoration

Change: after the faults, the store comes back without 50 changes of the target list that the daemons have read, before a target drains.

--- a/crates/daemon/tests/soak/recovery.rs
+++ b/crates/daemon/tests/soak/recovery.rs
@@ -24,6 +24,9 @@
 /// Limits that two targets name.
 const LIMITS_PER_S: [u32; 2] = [1, 6];
 
+/// Changes of the target list that a restored store has lost.
+const LOST_CHANGES: u32 = 50;
+
 /// Checks, while clients send requests, that limited targets get no more requests than
 /// their limits allow, and that limits are no longer kept once they are withdrawn.
 pub async fn check_limits(testbed: &Testbed) {
@@ -99,6 +102,7 @@
         )
         .await;
     }
+    lose_changes(testbed).await;
     let draining = &testbed.targets[0];
     let proxy = testbed.target_proxies[0].address;
     harness::register_at(&testbed.store, &draining.id, proxy, "draining");
@@ -113,6 +117,18 @@
     .await;
 }
 
+/// Lets the store come back without the changes of the target list that the daemons have
+/// just read.
+async fn lose_changes(testbed: &Testbed) {
+    let copy = testbed.store.copy();
+    for change in 0..LOST_CHANGES {
+        let invalid = json!({ "change": change });
+        testbed.store.put("servers", "invalid", &invalid);
+    }
+    actix_rt::time::sleep(Duration::from_secs(1)).await;
+    testbed.store.restore(&copy);
+}
+
 /// Waits until `condition` holds; panics with `failure` after `RECOVERY_TIMEOUT`.
 async fn wait_until<F: Future<Output = bool>>(
     testbed: &Testbed,
