Log and count the targets that only a restored entry lists

Cause: a target that had left and is listed again in a restored list was excluded without a line, and counted as usable. Change: target-suspect logs the exclusion; the gauge of targets has the state unconfirmed. Requests are placed as before.

--- a/crates/core/src/serving/targets/restored.rs
+++ b/crates/core/src/serving/targets/restored.rs
@@ -26,16 +26,16 @@
 impl Targets {
     /// Applies an entry of a list that the store has restored from an older copy. A target
     /// that had left is excluded for `entry_lifetime`: the store removes the entry in this
-    /// time if the target does not write it again.
+    /// time if the target does not write it again. Returns the duration of the exclusion.
     pub fn upsert_restored(
         &mut self,
         mut facts: TargetFacts,
         entry_lifetime: Duration,
         now: Instant,
-    ) {
+    ) -> Option<Duration> {
         let known = self.targets.get(&facts.id).map(|target| &target.facts);
         if known.is_some_and(|known| facts.started_unix_ms < known.started_unix_ms) {
-            return;
+            return None;
         }
         if let Some(known) = known
             && known.started_unix_ms == facts.started_unix_ms
@@ -47,13 +47,12 @@
             departure.is_some_and(|known| facts.started_unix_ms <= known.started_unix_ms);
         let id = facts.id.clone();
         self.upsert(facts, now);
-        if let Some(departure) = departure.filter(|_| has_left) {
-            // It is still not known to run.
-            self.departures.insert(id.clone(), departure);
-            if let Some(target) = self.targets.get_mut(&id) {
-                target.unconfirmed_until = Some(now + entry_lifetime);
-            }
-        }
+        // A target that had left is still not known to run.
+        let departure = departure.filter(|_| has_left)?;
+        self.departures.insert(id.clone(), departure);
+        let target = self.targets.get_mut(&id)?;
+        target.unconfirmed_until = Some(now + entry_lifetime);
+        Some(entry_lifetime)
     }
 
     pub(super) fn record_departure(&mut self, target: &TargetFacts, now: Instant) {
--- a/crates/core/tests/serving/targets.rs
+++ b/crates/core/tests/serving/targets.rs
@@ -358,9 +358,9 @@
     targets.schedule_removal(&id(2), Duration::ZERO, ms(1_000));
     targets.remove_expired(ms(1_500));
     targets.upsert(restarted.clone(), ms(1_500));
-    for number in 0..4 {
-        targets.upsert_restored(facts(number), ENTRY_LIFETIME, ms(2_000));
-    }
+    let restored =
+        [0, 1, 2, 3].map(|n| targets.upsert_restored(facts(n), ENTRY_LIFETIME, ms(2_000)));
+    assert_eq!(restored, [None, None, Some(ENTRY_LIFETIME), None]);
     assert!(is_usable(&targets, 0, 2_000));
     assert!(!is_usable(&targets, 1, 60_000));
     assert!(!is_usable(&targets, 2, 5_900));
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -19,17 +19,25 @@
     Usable,
     Suspect,
     Leaving,
+    Unconfirmed,
     Draining,
 }
 
 impl TargetState {
-    const ALL: [Self; 4] = [Self::Usable, Self::Suspect, Self::Leaving, Self::Draining];
+    const ALL: [Self; 5] = [
+        Self::Usable,
+        Self::Suspect,
+        Self::Leaving,
+        Self::Unconfirmed,
+        Self::Draining,
+    ];
 
     fn of(target: &Target, now: Instant) -> Self {
         match target {
             target if target.facts.draining => Self::Draining,
             target if target.is_leaving(now) => Self::Leaving,
             target if target.is_suspect(now) => Self::Suspect,
+            target if target.is_unconfirmed(now) => Self::Unconfirmed,
             _ => Self::Usable,
         }
     }
@@ -39,6 +47,7 @@
             Self::Usable => "usable",
             Self::Suspect => "suspect",
             Self::Leaving => "leaving",
+            Self::Unconfirmed => "unconfirmed",
             Self::Draining => "draining",
         }
     }
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -376,7 +376,12 @@
             match is_restored {
                 true => {
                     let entry_lifetime = gateway.settings.borrow().entry_lifetime;
-                    targets.upsert_restored(facts, entry_lifetime + ENTRY_EXPIRY_MARGIN, now);
+                    let entry_lifetime = entry_lifetime + ENTRY_EXPIRY_MARGIN;
+                    if let Some(excluded_for) = targets.upsert_restored(facts, entry_lifetime, now)
+                    {
+                        let cause = "listed in an older copy only";
+                        process_events::log_target_suspect(&id, cause, excluded_for);
+                    }
                 }
                 false => targets.upsert(facts, now),
             }
