Bound reported counts, and keep limits that are known before the target list

Cause: found on reading. A report with an infinite count would have made the time until the next request infinite, which a duration can't hold; and the first entry of a target dropped the limit that a peer had reported before the list was read. Change: reported counts are bounded, and a limit is forgotten only when the process of its target is replaced. Result: two tests without a network, both written with the change.

--- a/crates/core/src/serving/targets/limits.rs
+++ b/crates/core/src/serving/targets/limits.rs
@@ -28,6 +28,9 @@
 /// Count below which a target without a limit is forgotten.
 const MIN_COUNT: f64 = 1e-3;
 
+/// Largest count that a peer's report may have.
+const MAX_REPORTED_COUNT: f64 = 1e6;
+
 /// Time for which a withdrawal is kept, and age of a limit up to which a peer's report of
 /// it counts: a peer that was away does not bring back a limit that was withdrawn.
 const ANSWER_RETENTION: Duration = Duration::from_secs(60);
@@ -326,8 +329,11 @@
             let counts = self.peer_counts.entry(peer.clone()).or_default();
             let newest = counts.get(target).map_or(0, |known| known.sequence);
             if newest <= sequence {
+                let sent_count = Some(report.sent_count).filter(|count| count.is_finite());
                 let count = RequestCount {
-                    count: report.sent_count.max(0.0),
+                    count: sent_count
+                        .unwrap_or_default()
+                        .clamp(0.0, MAX_REPORTED_COUNT),
                     updated_at: now,
                 };
                 counts.insert(target.clone(), PeerCount { count, sequence });
--- a/crates/core/src/serving/targets/mod.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -194,8 +194,10 @@
             }
             _ => {
                 let target = Target::new(facts, now);
-                self.limits.forget_limit(&target.facts.id);
-                self.targets.insert(target.facts.id.clone(), target);
+                let id = target.facts.id.clone();
+                if self.targets.insert(id.clone(), target).is_some() {
+                    self.limits.forget_limit(&id);
+                }
             }
         }
     }
--- a/crates/core/tests/serving/target_limits.rs
+++ b/crates/core/tests/serving/target_limits.rs
@@ -389,3 +389,20 @@
     let age = Some(Duration::from_millis(100));
     assert_eq!(first.reports(ms(200))[0].named_age, age);
 }
+
+/// Guards against a report with an impossible count that stops the instance, or keeps a
+/// target from getting requests for good.
+#[test]
+fn impossible_counts_in_reports_are_bounded() {
+    for sent_count in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0] {
+        let mut peer = TargetLimits::default();
+        let mut limits = TargetLimits::default();
+        peer.record_answer(&target(), limit(2.0), ms(0), ms(0));
+        let report = LimitReport {
+            sent_count,
+            ..peer.reports(ms(10))[0].clone()
+        };
+        limits.merge_reports(&InstanceId::new("a"), 1, &[report], ms(10));
+        assert!(limits.wait(&target(), ms(10)) <= Duration::from_secs(15));
+    }
+}
--- a/crates/core/tests/serving/targets.rs
+++ b/crates/core/tests/serving/targets.rs
@@ -4,8 +4,10 @@
 
 use cyclamengauge_core::{
     ids::{EngineId, InstanceId, ServiceId},
-    serving::targets::{Load, LoadReport, Outcome, Part, StreamTraits, TargetFacts, Targets},
-    units::Tokens,
+    serving::targets::{
+        Load, LoadReport, Outcome, Part, StreamTraits, TargetFacts, Targets, limits::LimitStatement,
+    },
+    units::{RequestsPerSecond, Tokens},
 };
 
 use crate::fleet::{ENGINES, address, facts, id, ms, targets};
@@ -371,3 +373,22 @@
     targets.upsert(facts(2), ms(2_100));
     assert!(is_usable(&targets, 2, 2_100));
 }
+
+/// Guards against a limit that a peer has reported before the target list is read, and that
+/// is lost with the first entry of the target; a new process of the target has none.
+#[test]
+fn a_limit_is_forgotten_only_when_the_process_of_its_target_is_replaced() {
+    let mut targets = Targets::default();
+    let statement = LimitStatement::Limited(RequestsPerSecond(2.0));
+    targets
+        .limits
+        .record_answer(&id(0), statement, ms(0), ms(10));
+    targets.upsert(facts(0), ms(20));
+    assert!(targets.limits.limit(&id(0)).is_some());
+    let restarted = TargetFacts {
+        started_unix_ms: 7,
+        ..facts(0)
+    };
+    targets.upsert(restarted, ms(30));
+    assert_eq!(targets.limits.limit(&id(0)), None);
+}
