Test limits with split prompts and in traces, and look for them only where there are any

Change: a test without a network in which attempts at split prompts use up the limits of all engines and the next request is refused until the time that it is told; a trace of a refused request names the limit and the instance that got it. Placement looks for targets at their limits only if a target is limited.

--- a/crates/cli/tests/traces.rs
+++ b/crates/cli/tests/traces.rs
@@ -50,3 +50,24 @@
         .unwrap();
     assert_eq!(prefixed.source, "b");
 }
+
+#[test]
+fn trace_of_a_request_refused_at_a_limit_names_the_limit_and_its_source() {
+    let log = r#"
+{"timestamp":"2026-12-04T05:00:09.000000Z","level":"INFO","fields":{"event":"target-limit","target":"t1","limit_per_s":1.5,"source":"b","message":"m"}}
+{"timestamp":"2026-12-04T05:00:10.000000Z","level":"INFO","fields":{"event":"at-limit","request":"r1","at_unix_ms":1796360410000,"targets":"t1 1.5 requests/s","wait_ms":300,"message":"m"}}
+{"timestamp":"2026-12-04T05:00:10.000000Z","level":"INFO","fields":{"event":"ended","request":"r1","at_unix_ms":1796360410001,"outcome":"targets-at-limit","status":503,"retry_after_ms":300,"message":"m"}}
+"#;
+    let lines: Vec<LogLine> = log
+        .lines()
+        .filter_map(|line| LogLine::parse("a", line))
+        .collect();
+    let trace = traces::explain(&lines, "r1").unwrap();
+    for expected in [
+        "at-limit targets=`t1 1.5 requests/s` wait_ms=300",
+        "outcome=`targets-at-limit`",
+        "target-limit limit_per_s=1.5 source=`b` target=`t1`",
+    ] {
+        assert!(trace.contains(expected), "`{expected}` is not in {trace}");
+    }
+}
--- a/crates/core/src/serving/targets/mod.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -483,6 +483,9 @@
         excluded: &[EngineId],
         now: Instant,
     ) -> Vec<&Target> {
+        if self.limits.limited().next().is_none() {
+            return Vec::new();
+        }
         let mut targets = self.eligible(service, excluded, now);
         targets.retain(|target| !self.limits.wait(&target.facts.id, now).is_zero());
         targets
--- a/crates/core/tests/serving/placement.rs
+++ b/crates/core/tests/serving/placement.rs
@@ -1,14 +1,14 @@
 //! Placement of single requests.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use cyclamengauge_core::{
-    ids::{DataCentreId, ServiceId},
+    ids::{DataCentreId, EngineId, ServiceId},
     serving::{
         placement::{PlacementError, PlacementRequest, choose},
-        targets::{Outcome, TargetFacts, Targets},
+        targets::{Outcome, TargetFacts, Targets, limits::LimitStatement},
     },
-    units::Tokens,
+    units::{RequestsPerSecond, Tokens},
 };
 
 use crate::fleet::{ENGINES, facts, id, model, ms, place, placement_request, send, targets};
@@ -234,3 +234,36 @@
         assert!(runners_up[1].excess_cost >= runners_up[0].excess_cost);
     }
 }
+
+/// Guards against a part of a split prompt, a retry or a resumed stream that does not count
+/// against the limit of its target, and against a limit that is exceeded as no other target
+/// is left.
+#[test]
+fn targets_whose_limits_are_reached_get_no_part_of_a_prompt() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut targets = targets();
+    let statement = LimitStatement::Limited(RequestsPerSecond(1.0));
+    for number in 0..ENGINES {
+        let limits = &mut targets.limits;
+        limits.record_answer(&id(number), statement, ms(0), ms(0));
+    }
+    // Each attempt is sent to the targets that are left, with all parts of the prompt.
+    let mut used: BTreeSet<EngineId> = BTreeSet::new();
+    let wait = loop {
+        match place(&targets, 210_000, &mut rng, ms(10)) {
+            Ok(placement) => {
+                for part in &placement.parts {
+                    used.insert(part.target.clone());
+                }
+                targets.begin(placement.parts, placement.stream, ms(10));
+            }
+            Err(PlacementError::AtLimit(wait)) => break wait,
+            Err(error) => panic!("{error:?}"),
+        }
+    };
+    assert_eq!(used.len(), ENGINES);
+    // The time after which the promise can be kept.
+    assert!(wait > Duration::ZERO && wait <= Duration::from_secs(1));
+    assert!(place(&targets, 2_000, &mut rng, ms(9) + wait).is_err());
+    assert!(place(&targets, 2_000, &mut rng, ms(11) + wait).is_ok());
+}
