--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -65,7 +65,7 @@
     store_proxies: Vec<Rc<Proxy>>,
     store: Rc<store::Store>,
     /// State of the store to which it may come back.
-    store_copy: RefCell<Option<store::Copy>>,
+    store_copy: RefCell<Option<store::StoreCopy>>,
     rng: RefCell<fastrand::Rng>,
     /// Whether every target refuses every request; shared with the target scripts.
     refuse_all: Rc<Cell<bool>>,
