Keep targets whose entries a restored store has lost until they are written again

Seen in a test: a target that had registered in the lost seconds got no requests, though it ran, until its entry was back. Cause: targets without an entry stay usable for a while after a failed call to the store, and an instance need not see one when the store comes back from an older copy. Change: that a restoration becomes known counts like a failed call.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -131,7 +131,8 @@
     store_era: Cell<Option<StoreEra>>,
     /// Notified when the store has come back from an older copy.
     store_era_changed: Notify,
-    /// Latest failed store call of a watch.
+    /// Latest failed store call of a watch, or the time at which a restoration of the store
+    /// became known.
     last_store_failure_at: Cell<Option<Instant>>,
     /// Latest successful store call of a watch, here or at a peer that watches the
     /// tables for this instance.
@@ -265,6 +266,8 @@
         self.store_era.set(Some(era));
         self.store_era_changed.notify_waiters();
         if let Some(before) = before {
+            // Entries that the store has lost are missing until they are written again.
+            self.last_store_failure_at.set(Some(self.clock.now()));
             process_events::log_store_restored(era.0, before.0);
         }
     }
