--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -90,7 +90,7 @@
 pub struct Gateway {
     /// Settings of this process.
     pub settings: RefCell<settings::Settings>,
-    /// Monotonic clock; [`REPORTED_PAST`] at the start of the process.
+    /// Monotonic clock; at one hour, as `REPORTED_PAST` says, when the process starts.
     pub clock: Clock,
     /// Start of the process.
     started_at: Instant,
