Tell a path that is cut from targets that are down, and log it

Change: core/serving/reachability records which connections to targets open. A failed or slow one makes the path of its service doubtful; further targets are probed, and instances tell their peers, which probe in turn, whether they reach the service. Several failed targets and a peer that has connected since confirm the cut. Event path, gauge cyclamengauge_path, counter cyclamengauge_path_probes_total.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -94,6 +94,9 @@
     "target-unlisted" ["target", "linger_ms"] "an entry was removed from the target list";
     "target-entry-faulty" ["target", "cause"] "an entry of the target list is invalid";
     "target-suspect" ["target", "cause", "out_ms"] "a target is excluded for `out_ms`";
+    "path" [
+        "service", "state", "before", "failing_ms", "failed_targets", "handed_over", "refused"
+    ] "whether this instance reaches the targets of a service; `cut-off`: only its peers do; `unreachable`: nobody does";
     "target-crashed" ["request", "shared_parts", "target", "cause"]
         "the connection to a target was lost and a new one can't be opened";
     "target-limit" ["target", "limit_per_s", "before_per_s", "source"]
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 - [`cost`] estimates the cost of a prompt to an engine and to the streams on it;
 - [`targets`] tracks the targets, their health and their load;
 - [`peers`] tracks the other instances;
+- [`reachability`] tells an instance that is cut off from targets that are down;
 - [`store_calls`] times the calls that watch the platform's tables;
 - [`watchers`] picks the instances that watch the platform's tables;
 - [`target_list`] keeps the target list for peers that fetch it;
@@ -25,6 +26,7 @@
 pub mod prompt_parts;
 pub mod queue;
 pub mod rate;
+pub mod reachability;
 pub mod retry_budget;
 pub mod routes;
 pub mod store_calls;
--- a/crates/core/src/serving/targets/mod.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -491,16 +491,32 @@
         targets
     }
 
+    /// Targets of a service that take new requests, whether they can be reached or not.
+    pub fn listed(&self, service: &ServiceId, now: Instant) -> impl Iterator<Item = &Target> {
+        self.targets.values().filter(move |target| {
+            &target.facts.service == service && !target.facts.draining && !target.is_removed(now)
+        })
+    }
+
+    /// Ends the exclusions of a service's targets that did not respond since `since`, and
+    /// forgets these failures: they were not the targets' own.
+    pub fn forgive_silence(&mut self, service: &ServiceId, since: Instant) {
+        let targets = self.targets.values_mut();
+        let targets = targets.filter(|target| &target.facts.service == service);
+        for target in targets.filter(|target| target.failure_rate_at >= since) {
+            target.suspect_until = None;
+            target.unanswered_requests = 0;
+            target.failure_rate = 0.0;
+        }
+    }
+
     /// Targets of a service that are not excluded for a time. If every target is, these
     /// exclusions are ignored.
     fn eligible(&self, service: &ServiceId, excluded: &[EngineId], now: Instant) -> Vec<&Target> {
-        let candidates = self.targets.values().filter(|target| {
-            &target.facts.service == service
-                && !target.facts.draining
-                && !target.is_removed(now)
-                && !excluded.contains(&target.facts.id)
-        });
-        let candidates: Vec<&Target> = candidates.collect();
+        let candidates = self.listed(service, now);
+        let candidates: Vec<&Target> = candidates
+            .filter(|target| !excluded.contains(&target.facts.id))
+            .collect();
         let healthy: Vec<&Target> = candidates
             .iter()
             .copied()
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -26,6 +26,7 @@
 use crate::{
     gateway::{
         Gateway,
+        paths::{self, TargetAddress},
         reservations::Reservations,
         response_timeouts::{ResponseTimeouts, WaitError},
         target_limits,
@@ -132,6 +133,7 @@
 pub struct InFlightGuard {
     gateway: Rc<Gateway>,
     id: InFlightId,
+    service: ServiceId,
     /// Target that sends the response.
     pub target: EngineId,
     /// Address of the target.
@@ -144,7 +146,7 @@
 }
 
 impl InFlightGuard {
-    fn begin(gateway: &Rc<Gateway>, placement: &Placement) -> Self {
+    fn begin(gateway: &Rc<Gateway>, service: &ServiceId, placement: &Placement) -> Self {
         let now = gateway.clock.now();
         let parts = placement.parts.clone();
         let stream = placement.stream;
@@ -153,6 +155,7 @@
         Self {
             gateway: Rc::clone(gateway),
             id,
+            service: service.clone(),
             target: placement.target.clone(),
             address: placement.address,
             has_helpers: !placement.helpers.is_empty(),
@@ -175,6 +178,15 @@
         }
     }
 
+    /// The target and its address.
+    pub fn target_address(&self) -> TargetAddress {
+        TargetAddress {
+            service: self.service.clone(),
+            target: self.target.clone(),
+            address: self.address,
+        }
+    }
+
     /// Whether a crash of the target may be due to this request: an engine crashes on a
     /// prompt when it begins to write the answer.
     fn may_have_caused_crash(&self) -> bool {
@@ -190,6 +202,10 @@
             .targets
             .borrow_mut()
             .record_received(self.id, now);
+        self.gateway
+            .reachability
+            .borrow_mut()
+            .record_received(&self.service, now);
     }
 
     /// Sets the outcome to record on drop; [`Outcome::Unknown`] if never set.
@@ -234,7 +250,7 @@
     last_event_id: Option<&HeaderValue>,
     response_timeouts: ResponseTimeouts,
 ) -> Result<Exchange, AttemptError> {
-    let mut in_flight = InFlightGuard::begin(gateway, placement);
+    let mut in_flight = InFlightGuard::begin(gateway, &request.service, placement);
     // A delayed order of an earlier attempt may still take effect, so each attempt
     // uses reservation ids of its own.
     let reservation_prefix = format!("{}-{:08x}", request.id, gateway.rng.borrow_mut().u32(..));
@@ -256,7 +272,7 @@
             ));
         }
     };
-    let opened = Connection::open(placement.address, CONNECT_TIMEOUT).await;
+    let opened = paths::connect(gateway, &in_flight.target_address(), CONNECT_TIMEOUT).await;
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(err) => {
@@ -597,7 +613,8 @@
     failure
 }
 
-fn log_exclusion(target: &EngineId, outcome: Outcome, exclusion: Option<Duration>) {
+/// Logs that an outcome excludes a target.
+pub fn log_exclusion(target: &EngineId, outcome: Outcome, exclusion: Option<Duration>) {
     if let Some(exclusion) = exclusion {
         process_events::log_target_suspect(target, outcome.name(), exclusion);
     }
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -5,7 +5,7 @@
 use cyclamengauge_core::{
     clock::Instant,
     ids::{EngineId, ServiceId},
-    serving::{targets::Target, watchers::WatchState},
+    serving::{reachability::PathState, targets::Target, watchers::WatchState},
 };
 
 use crate::{
@@ -120,6 +120,14 @@
             metrics::gauge!("cyclamengauge_targets", &labels)
                 .set(f64::from(count.unwrap_or_default()));
         }
+        let path = gateway.reachability.borrow().state(&service.id);
+        for state in [PathState::CutOff, PathState::Unreachable] {
+            let labels = [
+                ("service", name.clone()),
+                ("state", state.name().to_owned()),
+            ];
+            metrics::gauge!("cyclamengauge_path", &labels).set(f64::from(u8::from(path == state)));
+        }
         let retries_left = gateway.retries_left(&service.id) as f64;
         metrics::gauge!("cyclamengauge_retries_left", "service" => name).set(retries_left);
     }
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -1,15 +1,16 @@
 //! Encoding and decoding of gossip messages.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use cyclamengauge_core::{
     clock::Instant,
-    ids::{EngineId, PromptPartId},
+    ids::{DataCentreId, EngineId, InstanceId, PromptPartId, ServiceId},
     request::Fingerprint,
     serving::{
         dissemination::DueMessage,
         prompt_parts::{EngineCrash, PartReport},
         queue::QueuedPrompt,
+        reachability::{PathReport, PeerReport},
         target_list::ListVersion,
         targets::{Load, LoadReport, limits::LimitReport},
         watchers::WatchState,
@@ -49,6 +50,11 @@
             (targets.own_loads(now), targets.limits.reports(now))
         }
     };
+    let has_news = gateway.reachability.borrow_mut().take_news();
+    let paths = match has_news || message == DueMessage::CompleteState {
+        true => gateway.reachability.borrow().reports(now),
+        false => Vec::new(),
+    };
     let targets = gateway.targets.borrow();
     let loads = loads.iter().map(|(id, load)| {
         let last_received_at = targets.get(id).and_then(|target| target.last_received_at());
@@ -86,6 +92,9 @@
             .map(|at| (now - at).as_millis() as u32),
         part_crashes: parts.iter().map(|part| encode_part(part, now)).collect(),
         target_limits: target_limits.iter().map(encode_target_limit).collect(),
+        paths: paths.iter().map(encode_path).collect(),
+        requests_in_progress: gateway.requests_in_progress.get() as u32,
+        takes_requests: !gateway.is_shutting_down(),
     }
 }
 
@@ -204,6 +213,32 @@
     }
 }
 
+fn encode_path(path: &PathReport) -> v1::ServicePath {
+    v1::ServicePath {
+        service: path.service.to_string(),
+        open: path.is_open,
+        connected_age_ms: path.connected_age.map(|age| age.as_millis() as u64),
+    }
+}
+
+/// Decodes what a peer that listens at `address` reports of itself and its paths.
+pub(super) fn decode_peer_report(gossip: &v1::Gossip, address: SocketAddr) -> PeerReport {
+    let paths = gossip.paths.iter().map(|path| PathReport {
+        service: ServiceId::new(&path.service),
+        is_open: path.open,
+        connected_age: path.connected_age_ms.map(Duration::from_millis),
+    });
+    PeerReport {
+        instance: InstanceId::new(&gossip.instance),
+        address,
+        incarnation: gossip.incarnation,
+        data_centre: DataCentreId::new(&gossip.data_centre),
+        requests_in_progress: gossip.requests_in_progress,
+        takes_requests: gossip.takes_requests,
+        paths: paths.collect(),
+    }
+}
+
 fn encode_part(report: &PartReport, now: Instant) -> v1::PartCrashes {
     let age_ms = |at: Instant| (now - at).as_millis() as u64;
     let crashes = report.crashes.iter().map(|crash| v1::EngineCrash {
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -31,7 +31,7 @@
 use prost::Message;
 
 use crate::{
-    gateway::{Gateway, refused_parts, target_limits},
+    gateway::{Gateway, paths, refused_parts, target_limits},
     telemetry::process_events,
 };
 
@@ -227,6 +227,7 @@
         targets.record_peer_leaving(&EngineId::new(&leaving.target), remaining, now);
     }
     drop(targets);
+    paths::merge_report(gateway, messages::decode_peer_report(gossip, address));
     for content in &gossip.crashes {
         record_crashes(gateway, content, now);
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 - `watch`: the configuration and the target list, from the platform's store or from
   peers that watch it;
 - `gossip`: exchange of loads, crashes and versions between instances;
+- `paths`: connections to targets, and whether this instance or only its peers reach them;
 - `target_limits`: the limits that targets name in their responses;
 - `refused_parts`: parts of prompts that crash engines, in the platform's store;
 - `upstream`, `store`: outgoing connections and the store client.
@@ -17,6 +18,7 @@
 mod exchange;
 mod gauges;
 mod gossip;
+mod paths;
 mod refused_parts;
 mod relay;
 mod requests;
@@ -47,6 +49,7 @@
         prompt_parts::PromptParts,
         queue::Queue,
         rate,
+        reachability::Reachability,
         retry_budget::{RetryBudget, RetryLimits},
         routes::RouteTable,
         target_list::TargetList,
@@ -109,6 +112,10 @@
     watchers: RefCell<Watchers>,
     /// Targets with their health and load.
     pub targets: RefCell<Targets>,
+    /// Paths to the targets, from here and from the peers.
+    pub reachability: RefCell<Reachability>,
+    /// Notified when a path changes, when probes are due, and when a peer reports its paths.
+    path_changed: Notify,
     /// Whether the target list was read in full since the start.
     target_list_loaded: Cell<bool>,
     /// Rate of client requests for streams at this instance.
@@ -179,6 +186,8 @@
             target_list_watch: Cell::default(),
             watchers: RefCell::default(),
             targets: RefCell::default(),
+            reachability: RefCell::default(),
+            path_changed: Notify::new(),
             target_list_loaded: Cell::new(false),
             stream_rate: Cell::default(),
             queue: RefCell::default(),
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -9,7 +9,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
-    gateway::{self, Gateway, gauges, gossip, refused_parts, watch},
+    gateway::{self, Gateway, gauges, gossip, paths, refused_parts, watch},
     http, node,
     telemetry::{self, process_events},
 };
@@ -143,6 +143,7 @@
     actix_rt::spawn(watch::keep_announced(Rc::clone(gateway)));
     actix_rt::spawn(refused_parts::keep_stored(Rc::clone(gateway)));
     actix_rt::spawn(log_placements(Rc::clone(gateway)));
+    actix_rt::spawn(paths::probe_targets(Rc::clone(gateway)));
     actix_rt::spawn(gossip::send_messages(
         Rc::clone(gateway),
         Rc::clone(&gossip_socket),
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -9,7 +9,12 @@
 use cyclamengauge_core::{
     clock::Instant,
     ids::{EngineId, InstanceId, PromptPartId},
-    serving::{store_calls::Outage, targets::TargetFacts, watchers::WatchState},
+    serving::{
+        reachability::{PathChange, PathState},
+        store_calls::Outage,
+        targets::TargetFacts,
+        watchers::WatchState,
+    },
     units::RequestsPerSecond,
 };
 
@@ -156,6 +161,28 @@
     );
 }
 
+/// Logs that this instance reaches no target of a service any more, or again.
+pub fn log_path(change: &PathChange) {
+    let PathChange { service, .. } = change;
+    let meaning = match change.after {
+        PathState::CutOff => "peers reach its targets, this instance does not",
+        PathState::Unreachable => "its targets can't be reached",
+        PathState::Doubtful => "its targets are not known to be unreachable any more",
+        PathState::Open => "its targets can be reached again",
+    };
+    tracing::warn!(
+        event = "path",
+        %service,
+        state = change.after.name(),
+        before = change.before.name(),
+        failing_ms = millis(change.failing_for),
+        failed_targets = change.failed_targets,
+        handed_over = change.handed_over,
+        refused = change.refused,
+        "path: service {service}: {meaning}"
+    );
+}
+
 /// Logs that a target broke off `request` and accepts no connections since, which
 /// counts as a crash. `shared_parts` are the parts of the prompt that others may share.
 pub fn log_target_crashed(
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -15,7 +15,12 @@
     clock,
     events::{self, EventKind},
     ids::{AccountId, DataCentreId, EngineId, InstanceId, PromptPartId, ServiceId},
-    serving::{store_calls::Outage, targets::TargetFacts, watchers::WatchState},
+    serving::{
+        reachability::{PathChange, PathState},
+        store_calls::Outage,
+        targets::TargetFacts,
+        watchers::WatchState,
+    },
     text::SmolStr,
     units::{RequestsPerSecond, Tokens},
 };
@@ -228,6 +233,15 @@
         process_events::log_target_entry_faulty("t1", &err);
         process_events::log_target_suspect(&target_id(), "silent", TEST_DURATION);
         process_events::log_target_crashed("r1", &[PromptPartId::new("p1")], &target_id(), &err);
+        process_events::log_path(&PathChange {
+            service: ServiceId::new("engines"),
+            before: PathState::Doubtful,
+            after: PathState::CutOff,
+            failing_for: TEST_DURATION,
+            failed_targets: 3,
+            handed_over: 2,
+            refused: 1,
+        });
         process_events::log_store_lost(&"targets", &err);
         let limit = Some(RequestsPerSecond(1.5));
         process_events::log_target_limit(&target_id(), limit, limit, "a");
