--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -67,6 +67,11 @@
     ] "a target was chosen; the ages are those of the target list and of the peers' loads";
     "at-limit" ["request", "at_unix_ms", "targets", "wait_ms"]
         "no target was chosen, as the limits that these targets named are reached for `wait_ms`";
+    "handed-over" ["request", "at_unix_ms", "peer"]
+        "the request was handed over to a peer, as the instance reaches no target";
+    "taken-over" [
+        "request", "at_unix_ms", "sender", "service", "left_ms", "configuration_version"
+    ] "a peer that reaches no target has handed the request over";
     "reserved" ["request", "at_unix_ms", "engines", "memory_tokens", "took_ms"]
         "memory was reserved on the helper engines of a split prompt";
     "try-failed" ["request", "at_unix_ms", "target", "failure", "cause", "retries_left"]
@@ -99,6 +104,8 @@
     ] "whether this instance reaches the targets of a service; `cut-off`: only its peers do; `unreachable`: nobody does";
     "target-crashed" ["request", "shared_parts", "target", "cause"]
         "the connection to a target was lost and a new one can't be opened";
+    "crash-ruled-out" ["request", "target"]
+        "the connection to a target was lost, but other targets can't be reached either or peers hear it";
     "target-limit" ["target", "limit_per_s", "before_per_s", "source"]
         "a target takes this many requests per second from all instances; without `limit_per_s` it has withdrawn its limit";
     "target-limit-faulty" ["target", "cause"] "the limit in a response of a target is invalid and ignored";
--- a/crates/core/src/serving/peers.rs
+++ b/crates/core/src/serving/peers.rs
@@ -151,6 +151,14 @@
         alive.count() as u32
     }
 
+    /// Whether messages of the peer at an address arrive.
+    pub fn is_heard(&self, address: SocketAddr, now: Instant) -> bool {
+        let peer = self.peers.get(&address);
+        peer.is_some_and(|peer| {
+            peer.has_sent_message && now - peer.last_received_at <= MISSING_AFTER
+        })
+    }
+
     /// Number of peers whose messages arrive, and of those that fell silent a short time
     /// ago, but may be alive behind a broken link.
     pub fn heard_and_missing(&self, now: Instant) -> (u32, u32) {
--- a/crates/core/src/serving/reachability/mod.rs
+++ b/crates/core/src/serving/reachability/mod.rs
@@ -131,8 +131,12 @@
     first_failed_at: Option<Instant>,
     /// Whether every listed target failed.
     all_failed: bool,
-    /// Targets that answered while the path was not open, with the time of the answer.
-    returned: BTreeMap<EngineId, Instant>,
+    /// Targets that have answered during the cut since it was last confirmed.
+    returned: BTreeSet<EngineId>,
+    /// Time of the first answer of these.
+    returning_since: Option<Instant>,
+    /// Failures since the latest answer during the cut.
+    failures_in_row: usize,
     /// Time for which targets must answer before the path is open again.
     return_delay: Duration,
     /// Time at which the path was last open again after a cut.
@@ -199,7 +203,9 @@
             PathState::CutOff => {
                 path.failed.remove(target);
                 path.all_failed = false;
-                path.returned.insert(target.clone(), now);
+                path.returned.insert(target.clone());
+                path.returning_since = path.returning_since.or(Some(now));
+                path.failures_in_row = 0;
                 if !path.has_returned(targets.listed(service, now).count(), now) {
                     return None;
                 }
@@ -224,7 +230,11 @@
             return None;
         }
         path.failed.insert(target.clone(), started_at);
-        path.returned.remove(target);
+        path.failures_in_row += 1;
+        if path.failures_in_row >= MIN_RETURNED_TARGETS {
+            path.returned.clear();
+            path.returning_since = None;
+        }
         path.doubt(started_at, now);
         self.has_news = true;
         self.evaluate(service, targets, now)
@@ -332,8 +342,9 @@
             PathState::Open => Path::Direct,
             PathState::Doubtful if is_first => Path::Direct,
             PathState::Doubtful => Path::Undecided,
-            PathState::Unreachable => Path::Closed,
-            PathState::CutOff => {
+            // A peer may not have noticed yet that it reaches no target either; it refuses
+            // then, and reports it.
+            PathState::CutOff | PathState::Unreachable => {
                 let choice = self.peers.choose(service, data_centre, tried, rng, now);
                 match choice {
                     Some(peer) => Path::Peer(peer),
@@ -457,13 +468,11 @@
     }
 
     /// Whether enough targets have answered, for long enough.
-    fn has_returned(&mut self, listed: usize, now: Instant) -> bool {
-        let recent = PROBE_INTERVAL * 8;
-        self.returned
-            .retain(|_, at| now - *at <= recent.max(self.return_delay));
-        let first = self.returned.values().min().copied();
+    fn has_returned(&self, listed: usize, now: Instant) -> bool {
         self.returned.len() >= MIN_RETURNED_TARGETS.min(listed)
-            && first.is_some_and(|at| now - at >= self.return_delay)
+            && self
+                .returning_since
+                .is_some_and(|since| now - since >= self.return_delay)
     }
 
     /// Enters a state. Returns the change unless it is only a doubt or the end of one.
@@ -489,6 +498,7 @@
                     false => Duration::ZERO,
                 };
                 self.returned.clear();
+                self.returning_since = None;
             }
             PathState::Open => {
                 if before == PathState::CutOff {
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -9,6 +9,7 @@
 mod placement;
 mod prompt_parts;
 mod queue;
+mod reachability;
 mod retry_budget;
 mod routes;
 mod simulation;
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -5,11 +5,12 @@
 use bytes::Bytes;
 use cyclamengauge_core::{
     clock::Instant,
-    ids::EngineId,
+    ids::{EngineId, InstanceId},
     serving::{
         peers,
         placement::{self, EngineCount, Placement, PlacementError, PlacementRequest},
         queue::{self, EntryId},
+        reachability::{Path, PeerChoice},
         targets::Targets,
     },
 };
@@ -19,6 +20,8 @@
     gateway::{
         Gateway,
         exchange::{self, AttemptError, ClientRequest, Exchange},
+        handover::{self, Failure, Origin, TakenOverGuard},
+        paths,
         response_timeouts::{ResponseTimeouts, client_timeout},
         responses::GatewayError,
         target_limits,
@@ -48,6 +51,12 @@
 /// which a client opens a new connection.
 const MIN_BUSY_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Shortest retry delay for a request whose targets can't be reached from any instance:
+/// two rounds of probes. The delays are spread over the second duration, so that the
+/// clients do not return all at once.
+const MIN_UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
+const UNREACHABLE_RETRY_SPREAD: Duration = Duration::from_millis(600);
+
 /// Retry delay for a request that found no free slot, before the first served
 /// request of its service.
 const DEFAULT_BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -57,6 +66,8 @@
 pub struct InProgressGuard {
     gateway: Rc<Gateway>,
     _busy: BusyGuard,
+    /// For a request of a peer.
+    _taken_over: Option<TakenOverGuard>,
 }
 
 impl InProgressGuard {
@@ -68,8 +79,16 @@
         Self {
             gateway: Rc::clone(gateway),
             _busy: gateway.connections.mark_busy(client),
+            _taken_over: None,
         }
     }
+
+    /// Counts a request of a peer.
+    pub fn for_peer(gateway: &Rc<Gateway>, taken_over: TakenOverGuard) -> Self {
+        let mut guard = Self::new(gateway, None);
+        guard._taken_over = Some(taken_over);
+        guard
+    }
 }
 
 impl Drop for InProgressGuard {
@@ -144,6 +163,12 @@
     longest_gap: Option<Duration>,
     /// Targets of failed attempts, which get no further attempt.
     excluded: Vec<EngineId>,
+    /// Peers that could not be handed the request, which get no further attempt.
+    tried_peers: Vec<InstanceId>,
+    /// Whether a peer has handed the request over.
+    is_taken_over: bool,
+    /// Whether the peer that has handed the request over may make another attempt.
+    peer_may_retry: bool,
     sent_attempts: u32,
     unsent_attempts: u32,
     may_have_executed: bool,
@@ -152,8 +177,8 @@
 }
 
 impl Attempts {
-    /// Creates the state of a request before its first attempt.
-    pub fn new(gateway: &Rc<Gateway>) -> Self {
+    /// Creates the state of a request before its first attempt here.
+    pub fn new(gateway: &Rc<Gateway>, origin: Option<&Origin>) -> Self {
         Self {
             gateway: Rc::clone(gateway),
             estimate: Duration::ZERO,
@@ -161,7 +186,10 @@
             time_to_first_event: None,
             last_event_at: None,
             longest_gap: None,
-            excluded: Vec::new(),
+            excluded: origin.map_or_else(Vec::new, |origin| origin.excluded.clone()),
+            tried_peers: Vec::new(),
+            is_taken_over: origin.is_some(),
+            peer_may_retry: origin.is_some_and(|origin| origin.may_retry),
             sent_attempts: 0,
             unsent_attempts: 0,
             may_have_executed: false,
@@ -172,7 +200,8 @@
     /// Whether another attempt is allowed if the current target fails after it may
     /// have executed the request.
     pub fn can_retry(&self, request: &ClientRequest) -> bool {
-        request.route.kind.is_repeatable() && self.sent_attempts < request.route.max_attempts
+        request.route.kind.is_repeatable()
+            && (self.sent_attempts < request.route.max_attempts || self.peer_may_retry)
     }
 
     /// Sends the request to one target after another until a response head arrives.
@@ -186,6 +215,13 @@
         last_event_id: Option<&HeaderValue>,
     ) -> Result<Exchange, RequestError> {
         loop {
+            if let Some(peer) = self.choose_peer(request).await? {
+                match self.hand_over(request, &peer, last_event_id).await {
+                    Ok(exchange) => return Ok(exchange),
+                    Err(failure) => self.record_peer_failure(request, &peer, failure)?,
+                }
+                continue;
+            }
             let placement = self.place_or_queue(request).await;
             let placement = placement.map_err(|error| self.with_return_time(request, error))?;
             // Crashes since the last attempt may have shown it.
@@ -199,6 +235,11 @@
             let timeouts = self.response_timeouts(request);
             let gateway = Rc::clone(&self.gateway);
             let sent = exchange::send(&gateway, request, &placement, last_event_id, timeouts).await;
+            if let Some(origin) = &request.origin {
+                let was_sent = sent.as_ref().err().is_none_or(AttemptError::was_sent);
+                origin.was_sent.set(was_sent);
+                origin.target.replace(Some(placement.target.clone()));
+            }
             match sent {
                 Ok(exchange) => return Ok(exchange),
                 Err(error) => self.record_failure(request, &placement.target, error)?,
@@ -206,6 +247,93 @@
         }
     }
 
+    /// Chooses the peer that the next attempt is handed over to; none if this instance
+    /// makes it. Waits while it is not known whether the targets can be reached.
+    ///
+    /// # Errors
+    ///
+    /// If no target can be reached.
+    async fn choose_peer(
+        &self,
+        request: &ClientRequest,
+    ) -> Result<Option<PeerChoice>, RequestError> {
+        let gateway = &self.gateway;
+        let mut has_waited = false;
+        loop {
+            let is_first = self.attempt_count() == 0;
+            let path = {
+                let settings = gateway.settings.borrow();
+                gateway.reachability.borrow_mut().path(
+                    &request.service,
+                    &settings.data_centre,
+                    &self.tried_peers,
+                    is_first || has_waited,
+                    &mut gateway.rng.borrow_mut(),
+                    gateway.clock.now(),
+                )
+            };
+            match path {
+                Path::Direct => return Ok(None),
+                Path::Undecided => {
+                    let (service, deadline) = (&request.service, request.deadline);
+                    paths::wait_for_decision(gateway, service, deadline).await;
+                    has_waited = true;
+                }
+                Path::Peer(peer) if !self.is_taken_over => return Ok(Some(peer)),
+                // A request is handed over once.
+                Path::Peer(_) | Path::Closed => return Err(self.unreachable_error(request)),
+            }
+        }
+    }
+
+    async fn hand_over(
+        &mut self,
+        request: &ClientRequest,
+        peer: &PeerChoice,
+        last_event_id: Option<&HeaderValue>,
+    ) -> Result<Exchange, Failure> {
+        self.sent_attempts += 1;
+        let timeouts = ResponseTimeouts::for_peer(request, self);
+        let gateway = Rc::clone(&self.gateway);
+        let (excluded, after) = (&self.excluded, last_event_id);
+        handover::send(&gateway, request, peer, excluded, after, timeouts).await
+    }
+
+    /// Records an attempt that was handed over and failed.
+    ///
+    /// # Errors
+    ///
+    /// If no other attempt is allowed.
+    fn record_peer_failure(
+        &mut self,
+        request: &ClientRequest,
+        peer: &PeerChoice,
+        failure: Failure,
+    ) -> Result<(), RequestError> {
+        if failure.excludes_peer {
+            self.tried_peers.push(peer.instance.clone());
+        }
+        if let AttemptError::Refused(error) = failure.error {
+            self.sent_attempts -= 1;
+            return Err(match self.may_have_executed {
+                true => self.final_error(request),
+                false => RequestError::Gateway(error),
+            });
+        }
+        self.record_failure(request, &failure.target, failure.error)
+    }
+
+    fn unreachable_error(&self, request: &ClientRequest) -> RequestError {
+        if self.may_have_executed {
+            return self.final_error(request);
+        }
+        let mut reachability = self.gateway.reachability.borrow_mut();
+        reachability.record_refusal(&request.service);
+        let draw = self.gateway.rng.borrow_mut().f64();
+        let delay = MIN_UNREACHABLE_RETRY_AFTER + UNREACHABLE_RETRY_SPREAD.mul_f64(draw);
+        RequestError::Gateway(GatewayError::TargetsUnreachable(delay))
+    }
+
     /// Records a failed attempt at `target`.
     ///
     /// # Errors
@@ -267,6 +395,11 @@
         crashes.record_completion(&request.fingerprint);
         let prompt = request.stream.as_ref().map(|stream| stream.prompt.get());
         let class = trace::request_class(prompt);
+        if self.is_taken_over {
+            // The peer that the client called counts it.
+            self.end(request, "served", None);
+            return;
+        }
         let took = self.gateway.clock.now() - request.arrived_at;
         let time_to_first_event = self.time_to_first_event.unwrap_or(took);
         metrics::histogram!("cyclamengauge_request_seconds", "class" => class).record(took);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
     request::Fingerprint,
     serving::{
         placement::{self, Placement},
+        reachability::{PathState, PeerChoice},
         routes::{Rank, Route},
         targets::{InFlightId, Outcome},
     },
@@ -26,9 +27,11 @@
 use crate::{
     gateway::{
         Gateway,
+        handover::Origin,
         paths::{self, TargetAddress},
         reservations::Reservations,
-        response_timeouts::{ResponseTimeouts, WaitError},
+        response_timeouts::{Awaited, ResponseTimeouts, WaitError},
+        responses::GatewayError,
         target_limits,
         upstream::{self, Connection},
     },
@@ -84,6 +87,8 @@
     pub stream: Option<placement::Stream>,
     /// Trace events of the request.
     pub trace: Rc<Trace>,
+    /// The peer that has handed the request over; none for a client's own.
+    pub origin: Option<Rc<Origin>>,
 }
 
 /// How an attempt failed.
@@ -101,38 +106,52 @@
     /// No response, or not the whole body, arrived in time; the request may have been
     /// executed.
     NoResponse,
+    /// A peer did not send the request to a target, for a reason that holds at every
+    /// instance.
+    Refused(GatewayError),
 }
 
 impl AttemptError {
     /// Whether the target may have executed the request.
     pub fn may_have_executed(&self) -> bool {
         match self {
-            Self::NotSent | Self::NotExecuted => false,
+            Self::NotSent | Self::NotExecuted | Self::Refused(_) => false,
             Self::ErrorResponse(_) | Self::Broken | Self::NoResponse => true,
         }
     }
 
     /// Whether the request was sent to the target.
     pub fn was_sent(&self) -> bool {
-        !matches!(self, Self::NotSent)
+        !matches!(self, Self::NotSent | Self::Refused(_))
     }
 
-    fn name(&self) -> &'static str {
+    /// Stable name, for logs and metrics.
+    pub fn name(&self) -> &'static str {
         match self {
             Self::NotSent => "not sent",
             Self::NotExecuted => "not run",
             Self::ErrorResponse(_) => "answered with a failure",
             Self::Broken => "broke off",
             Self::NoResponse => "silent",
+            Self::Refused(_) => "refused by peer",
         }
     }
 }
 
-/// Counts a request in the load of its targets until dropped; on drop, records the
-/// outcome.
+/// Where an attempt is counted.
+#[derive(Clone, Debug)]
+enum Counted {
+    /// In the load of its targets.
+    AtTargets(InFlightId),
+    /// Among the requests that a peer has taken over.
+    AtPeer(PeerChoice),
+}
+
+/// Counts a request in the load of its targets, or at the peer that it is handed over to,
+/// until dropped; on drop, records the outcome.
 pub struct InFlightGuard {
     gateway: Rc<Gateway>,
-    id: InFlightId,
+    counted: Counted,
     service: ServiceId,
     /// Target that sends the response.
     pub target: EngineId,
@@ -154,7 +173,7 @@
         gateway.report_placement();
         Self {
             gateway: Rc::clone(gateway),
-            id,
+            counted: Counted::AtTargets(id),
             service: service.clone(),
             target: placement.target.clone(),
             address: placement.address,
@@ -164,13 +183,29 @@
         }
     }
 
+    /// Counts a request that is handed over to a peer.
+    pub fn begin_handover(gateway: &Rc<Gateway>, service: &ServiceId, peer: &PeerChoice) -> Self {
+        let mut reachability = gateway.reachability.borrow_mut();
+        reachability.begin_handover(service, &peer.instance);
+        Self {
+            gateway: Rc::clone(gateway),
+            counted: Counted::AtPeer(peer.clone()),
+            service: service.clone(),
+            target: EngineId::new(peer.instance.as_str()),
+            address: peer.address,
+            has_helpers: false,
+            first_event_at: Cell::new(None),
+            outcome: Outcome::Unknown,
+        }
+    }
+
     /// Records the first event of the stream.
     pub fn record_first_event(&self) {
         self.first_event_at.set(Some(self.gateway.clock.now()));
-        self.gateway
-            .targets
-            .borrow_mut()
-            .record_first_event(self.id);
+        let Counted::AtTargets(id) = self.counted else {
+            return;
+        };
+        self.gateway.targets.borrow_mut().record_first_event(id);
         match self.has_helpers {
             // It frees several engines for the next long prompt.
             true => self.gateway.report_placement(),
@@ -187,6 +222,23 @@
         }
     }
 
+    /// What a response of the target depends on.
+    pub fn awaited(&self) -> Awaited {
+        let peer = match &self.counted {
+            Counted::AtTargets(_) => None,
+            Counted::AtPeer(peer) => Some(peer.address),
+        };
+        Awaited {
+            target: self.target_address(),
+            peer,
+        }
+    }
+
+    /// Whether a peer makes the attempt.
+    pub fn is_handed_over(&self) -> bool {
+        matches!(self.counted, Counted::AtPeer(_))
+    }
+
     /// Whether a crash of the target may be due to this request: an engine crashes on a
     /// prompt when it begins to write the answer.
     fn may_have_caused_crash(&self) -> bool {
@@ -198,10 +250,10 @@
     /// Records that bytes arrived from the target.
     pub fn record_received(&self) {
         let now = self.gateway.clock.now();
-        self.gateway
-            .targets
-            .borrow_mut()
-            .record_received(self.id, now);
+        let Counted::AtTargets(id) = self.counted else {
+            return;
+        };
+        self.gateway.targets.borrow_mut().record_received(id, now);
         self.gateway
             .reachability
             .borrow_mut()
@@ -217,8 +269,16 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         let now = self.gateway.clock.now();
+        let id = match &self.counted {
+            Counted::AtTargets(id) => *id,
+            Counted::AtPeer(peer) => {
+                let mut reachability = self.gateway.reachability.borrow_mut();
+                reachability.end_handover(&peer.instance);
+                return;
+            }
+        };
         let mut targets = self.gateway.targets.borrow_mut();
-        let exclusion = targets.record_end(self.id, self.outcome, now);
+        let exclusion = targets.record_end(id, self.outcome, now);
         drop(targets);
         log_exclusion(&self.target, self.outcome, exclusion);
         self.gateway.report_progress();
@@ -276,7 +336,11 @@
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(err) => {
-            in_flight.set_outcome(Outcome::Silent);
+            // Without a path to any target, the failure is not this one's.
+            let state = gateway.reachability.borrow().state(&request.service);
+            if matches!(state, PathState::Open | PathState::Doubtful) {
+                in_flight.set_outcome(Outcome::Silent);
+            }
             return Err(log_failure(
                 request,
                 &in_flight,
@@ -287,16 +351,17 @@
     };
     let target_request =
         build_target_request(gateway, request, placement, &reservations, last_event_id);
-    let target = (&placement.target, placement.address);
+    let awaited = in_flight.awaited();
     let sent_at = gateway.clock.now();
     let sending = connection.send(target_request);
     let sent = response_timeouts
-        .wait(gateway, target, request.deadline, sending)
+        .wait(gateway, &awaited, request.deadline, sending)
         .await;
     let response = match sent {
         Err(wait_error) => {
             in_flight.set_outcome(match wait_error {
                 WaitError::DeadlineExceeded => Outcome::Failed,
+                WaitError::CutOff => Outcome::Unknown,
                 WaitError::Silent(_) => Outcome::Silent,
             });
             let err = anyhow::anyhow!("{wait_error}");
@@ -421,18 +486,28 @@
 
 /// Probes an engine whose response broke off. If the engine does not accept a connection,
 /// records a crash that the request may have caused, and excludes the engine.
+/// Not so if this instance may reach no other target either. A peer does it for the
+/// attempts that it makes.
 pub fn suspect_crash(gateway: &Rc<Gateway>, request: &ClientRequest, in_flight: &InFlightGuard) {
+    if in_flight.is_handed_over() {
+        return;
+    }
     let gateway = Rc::clone(gateway);
     let (fingerprint, request_id) = (request.fingerprint, request.id.clone());
     let shared_parts = match in_flight.may_have_caused_crash() {
         true => request.shared_parts.clone(),
         false => Vec::new(),
     };
-    let (target, address) = (in_flight.target.clone(), in_flight.address);
+    let (target, address) = (in_flight.target.clone(), in_flight.target_address());
+    let broke_at = gateway.clock.now();
     actix_rt::spawn(async move {
-        let Err(err) = Connection::open(address, CRASH_PROBE_TIMEOUT).await else {
+        let Err(err) = paths::connect(&gateway, &address, CRASH_PROBE_TIMEOUT).await else {
             return;
         };
+        if !paths::is_target_at_fault(&gateway, &address, broke_at).await {
+            process_events::log_crash_ruled_out(&request_id, &target);
+            return;
+        }
         let now = gateway.clock.now();
         process_events::log_target_crashed(&request_id, &shared_parts, &target, &err);
         let crash = SmolStr::new(format!("{target}/{request_id}"));
@@ -500,7 +575,7 @@
 ///
 /// If the response has another request id, lacks a signature or is encoded, or if the
 /// target refused the request or returned a server error.
-async fn check_response(
+pub async fn check_response(
     gateway: &Rc<Gateway>,
     request: &ClientRequest,
     mut exchange: Exchange,
@@ -597,7 +672,8 @@
     }
 }
 
-fn log_failure(
+/// Counts and logs a failed attempt; returns the failure.
+pub fn log_failure(
     request: &ClientRequest,
     in_flight: &InFlightGuard,
     failure: AttemptError,
--- a/crates/daemon/src/gateway/gossip/fetch.rs
+++ b/crates/daemon/src/gateway/gossip/fetch.rs
@@ -19,7 +19,7 @@
 use prost::Message;
 
 use crate::{
-    gateway::{Gateway, TableWatch, upstream::Connection, watch},
+    gateway::{Gateway, TableWatch, handover, upstream::Connection, watch},
     http as server,
     telemetry::process_events,
 };
@@ -190,11 +190,12 @@
     Ok(response.into_body())
 }
 
-/// Handles a peer's fetch of the configuration or the target list. The status is
-/// 404 while this instance has none.
-pub async fn handle_fetch(gateway: Rc<Gateway>, request: ServerRequest) -> ServerResponse<BoxBody> {
+/// Handles a peer's fetch of the configuration or the target list, whose status is 404
+/// while this instance has none, or a request that the peer hands over.
+pub async fn handle_call(gateway: Rc<Gateway>, request: ServerRequest) -> ServerResponse<BoxBody> {
     let stored = gateway.stored_configuration.borrow().clone();
     match request.path() {
+        handover::PATH => handover::handle(gateway, request).await,
         CONFIGURATION_PATH if !stored.is_empty() => server::json(200, stored),
         TARGETS_PATH if gateway.target_list_loaded.get() => {
             let since = request.uri().query().and_then(|query| query.parse().ok());
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -94,7 +94,7 @@
         target_limits: target_limits.iter().map(encode_target_limit).collect(),
         paths: paths.iter().map(encode_path).collect(),
         requests_in_progress: gateway.requests_in_progress.get() as u32,
-        takes_requests: !gateway.is_shutting_down(),
+        takes_requests: gateway.takes_requests(),
     }
 }
 
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -35,7 +35,7 @@
     telemetry::process_events,
 };
 
-pub use fetch::{FetchesInProgress, handle_fetch};
+pub use fetch::{FetchesInProgress, handle_call};
 
 /// Largest datagram that is received without truncation.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 - `watch`: the configuration and the target list, from the platform's store or from
   peers that watch it;
 - `gossip`: exchange of loads, crashes and versions between instances;
+- `handover`: requests handed over to peers, and those of peers;
 - `paths`: connections to targets, and whether this instance or only its peers reach them;
 - `target_limits`: the limits that targets name in their responses;
 - `refused_parts`: parts of prompts that crash engines, in the platform's store;
@@ -18,7 +19,9 @@
 mod exchange;
 mod gauges;
 mod gossip;
+mod handover;
 mod paths;
+mod peer_keys;
 mod refused_parts;
 mod relay;
 mod requests;
@@ -45,6 +48,7 @@
     serving::{
         crashes::Crashes,
         dissemination::Schedule,
+        handover::TakenOver,
         peers::{self, Peers},
         prompt_parts::PromptParts,
         queue::Queue,
@@ -114,6 +118,13 @@
     pub targets: RefCell<Targets>,
     /// Paths to the targets, from here and from the peers.
     pub reachability: RefCell<Reachability>,
+    /// Requests of peers that reach no target.
+    taken_over: RefCell<TakenOver>,
+    /// Number of the latest request that was handed over to a peer.
+    last_handover: Cell<u64>,
+    peer_keys: peer_keys::PeerKeys,
+    /// Latest log line about a message on the peers' path that was rejected.
+    rejection_logged_at: Cell<Option<Instant>>,
     /// Notified when a path changes, when probes are due, and when a peer reports its paths.
     path_changed: Notify,
     /// Whether the target list was read in full since the start.
@@ -187,6 +198,10 @@
             watchers: RefCell::default(),
             targets: RefCell::default(),
             reachability: RefCell::default(),
+            taken_over: RefCell::default(),
+            last_handover: Cell::new(0),
+            peer_keys: peer_keys::PeerKeys::default(),
+            rejection_logged_at: Cell::default(),
             path_changed: Notify::new(),
             target_list_loaded: Cell::new(false),
             stream_rate: Cell::default(),
@@ -373,6 +388,12 @@
             .remaining(service, instances, now)
     }
 
+    /// Whether peers may hand requests over to this instance.
+    fn takes_requests(&self) -> bool {
+        let has_room = self.taken_over.borrow().has_room();
+        has_room && self.peer_keys.is_loaded() && self.is_ready()
+    }
+
     fn is_shutting_down(&self) -> bool {
         self.shutdown_started_at.get().is_some()
     }
--- a/crates/daemon/src/gateway/paths.rs
+++ b/crates/daemon/src/gateway/paths.rs
@@ -10,6 +10,7 @@
         targets::Outcome,
     },
 };
+use futures_util::future;
 
 use crate::{
     gateway::{Gateway, exchange, upstream::Connection},
@@ -23,6 +24,18 @@
 /// Time for a probed target to accept a connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time after a failure from which bytes that a peer has received from the target show that
+/// it is alive: peers also repeat what this instance received before.
+const HEARD_MARGIN: Duration = Duration::from_millis(100);
+
+/// Longest time that a request waits until it is known whether its targets can be reached:
+/// two rounds of probes.
+const MAX_DECISION_TIME: Duration = Duration::from_millis(320);
+
+/// Number of other targets that must all fail before a failed target is put down to this
+/// instance's own path.
+const MIN_FAILED_CONTROLS: usize = 2;
+
 /// A target to connect to.
 #[derive(Clone, Debug)]
 pub struct TargetAddress {
@@ -38,7 +51,8 @@
 ///
 /// # Errors
 ///
-/// If the connection is refused or takes longer than `timeout`.
+/// If the connection is refused or takes longer than `timeout`, or if this instance turns
+/// out to reach no target meanwhile.
 pub async fn connect(
     gateway: &Rc<Gateway>,
     target: &TargetAddress,
@@ -52,13 +66,58 @@
         Ok(result) => result,
         Err(_) => {
             record_slow(gateway, &target.service, started_at);
-            opening.await
+            tokio::select! {
+                result = &mut opening => result,
+                () = wait_until_cut(gateway, &target.service) => {
+                    let address = target.address;
+                    anyhow::bail!("connect to {address}: given up, no target can be reached");
+                }
+            }
         }
     };
     record_result(gateway, target, started_at, result.is_ok());
     result
 }
 
+/// Waits until it is known that this instance reaches no target of a service.
+pub async fn wait_until_cut(gateway: &Gateway, service: &ServiceId) {
+    loop {
+        let changed = gateway.path_changed.notified();
+        let state = gateway.reachability.borrow().state(service);
+        if matches!(state, PathState::CutOff | PathState::Unreachable) {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Waits until this instance reaches no target of a service and open connections to them
+/// carry no bytes either.
+pub async fn wait_until_hanging(gateway: &Gateway, service: &ServiceId) {
+    loop {
+        let changed = gateway.path_changed.notified();
+        if gateway.reachability.borrow().hangs(service) {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Waits while it is unknown whether the targets of a service can be reached, for a limited
+/// time.
+pub async fn wait_for_decision(gateway: &Gateway, service: &ServiceId, deadline: Instant) {
+    let latest = deadline.min(gateway.clock.now() + MAX_DECISION_TIME);
+    loop {
+        let changed = gateway.path_changed.notified();
+        let state = gateway.reachability.borrow().state(service);
+        let left = gateway.clock.until(latest);
+        if state != PathState::Doubtful || left.is_zero() {
+            return;
+        }
+        let _ = actix_rt::time::timeout(left, changed).await;
+    }
+}
+
 /// Merges what a peer reports of its paths.
 pub fn merge_report(gateway: &Gateway, report: PeerReport) {
     let now = gateway.clock.now();
@@ -99,6 +158,41 @@
     }
 }
 
+/// Whether a target that has stopped responding at `failed_at`, and to which no connection
+/// can be opened, is itself at fault and not the path from this instance.
+pub async fn is_target_at_fault(
+    gateway: &Rc<Gateway>,
+    target: &TargetAddress,
+    failed_at: Instant,
+) -> bool {
+    let is_heard = gateway
+        .targets
+        .borrow()
+        .has_received_since(&target.target, failed_at + HEARD_MARGIN);
+    if is_heard {
+        return false;
+    }
+    let has_connected = || {
+        let reachability = gateway.reachability.borrow();
+        reachability.has_connected_since(failed_at)
+    };
+    if has_connected() {
+        return true;
+    }
+    let controls = {
+        let targets = gateway.targets.borrow();
+        let reachability = gateway.reachability.borrow();
+        reachability.control_probes(&target.target, &targets, gateway.clock.now())
+    };
+    let count = controls.len();
+    let probes = controls.into_iter().map(|probe| run_probe(gateway, probe));
+    future::join_all(probes).await;
+    let reachability = gateway.reachability.borrow();
+    reachability.has_connected_since(failed_at)
+        || (count < MIN_FAILED_CONTROLS
+            && !reachability.has_peer_connected_since(&target.service, failed_at))
+}
+
 async fn run_probe(gateway: &Rc<Gateway>, probe: Probe) {
     let target = TargetAddress {
         service: probe.service,
@@ -167,8 +261,15 @@
     }
 }
 
-/// Logs a change of a path.
+/// Logs a change of a path. While no target can be reached, failures are the path's and
+/// not those of the targets.
 fn apply_change(gateway: &Gateway, change: &PathChange) {
     process_events::log_path(change);
+    let now = gateway.clock.now();
+    let since = now.since_start().saturating_sub(change.failing_for);
+    if change.before == PathState::CutOff || change.after == PathState::CutOff {
+        let mut targets = gateway.targets.borrow_mut();
+        targets.forgive_silence(&change.service, Instant::from_start(since));
+    }
     gateway.path_changed.notify_waiters();
 }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 //! forwarded event. Otherwise the client connection is closed, so that the client
 //! doesn't take the partial stream for a complete one.
 
-use std::fmt;
+use std::{fmt, rc::Rc};
 
 use bytes::{Bytes, BytesMut};
 use cyclamengauge_core::serving::targets::Outcome;
@@ -20,6 +20,7 @@
         Gateway,
         attempts::{Attempts, InProgressGuard},
         exchange::{self, AttemptError, ClientRequest, Exchange, InFlightGuard},
+        handover,
         response_timeouts::{ResponseTimeouts, WaitError},
     },
     telemetry::trace::TraceEvent,
@@ -43,7 +44,10 @@
 impl StreamError {
     /// Whether the engine may have crashed.
     pub fn is_possible_crash(&self) -> bool {
-        !matches!(self, Self::Timeout(WaitError::DeadlineExceeded))
+        !matches!(
+            self,
+            Self::Timeout(WaitError::DeadlineExceeded | WaitError::CutOff)
+        )
     }
 }
 
@@ -104,7 +108,8 @@
     /// connection may also have been cut off by a crash.
     pub fn has_marked_end(&self) -> bool {
         let map = self.exchange.response.headers();
-        map.contains_key(TRANSFER_ENCODING) || map.contains_key(CONTENT_LENGTH)
+        !handover::has_unmarked_end(map)
+            && (map.contains_key(TRANSFER_ENCODING) || map.contains_key(CONTENT_LENGTH))
     }
 
     /// Returns the next complete events, without those up to the id `after`; `None`
@@ -159,15 +164,14 @@
     /// deadline passes.
     pub async fn next_with_timeout(
         &mut self,
-        gateway: &Gateway,
+        gateway: &Rc<Gateway>,
         request: &ClientRequest,
         timeouts: ResponseTimeouts,
         after: Option<u64>,
     ) -> Result<Option<EventBatch>, StreamError> {
-        let flight = &self.exchange.in_flight;
-        let (id, address) = (flight.target.clone(), flight.address);
+        let awaited = self.exchange.in_flight.awaited();
         let next_events = self.next(after);
-        let result = timeouts.wait(gateway, (&id, address), request.deadline, next_events);
+        let result = timeouts.wait(gateway, &awaited, request.deadline, next_events);
         result.await.unwrap_or_else(|late| {
             if matches!(late, WaitError::Silent(_)) {
                 self.set_outcome(Outcome::Silent);
--- a/crates/daemon/src/gateway/requests.rs
+++ b/crates/daemon/src/gateway/requests.rs
@@ -28,6 +28,7 @@
         Gateway,
         attempts::{Attempts, InProgressGuard, RequestError},
         exchange::{self, ClientRequest},
+        handover,
         relay::{EventReader, Relay, StreamError},
         response_timeouts::ResponseTimeouts,
         responses::{self, GatewayError},
@@ -86,11 +87,46 @@
     served
 }
 
+/// Makes the attempt of a request that a peer has handed over.
+pub async fn serve_taken_over(
+    gateway: &Rc<Gateway>,
+    request: ClientRequest,
+    in_progress: InProgressGuard,
+) -> Response<BoxBody> {
+    let Some(origin) = request.origin.clone() else {
+        return responses::error_response(GatewayError::BadRequest);
+    };
+    let trace = Rc::clone(&request.trace);
+    let served = match refuses_requests(gateway, gateway.clock.now()) {
+        true => Err(RequestError::Gateway(GatewayError::ShuttingDown)),
+        false => match request.route.kind.is_stream() {
+            true => serve_stream(gateway, request, in_progress).await,
+            false => serve_plain(gateway, &request).await.map(|response| {
+                // The body has been read to its end.
+                handover::mark_answered(response, &origin, true)
+            }),
+        },
+    };
+    match served {
+        Ok(response) => response,
+        Err(error) => {
+            trace_error(&trace, &error);
+            match error {
+                RequestError::TargetResponse(response) => {
+                    let response = responses::from_target(*response);
+                    handover::mark_answered(response, &origin, true)
+                }
+                RequestError::Gateway(error) => handover::error_response(error, &origin),
+            }
+        }
+    }
+}
+
 async fn serve_plain(
     gateway: &Rc<Gateway>,
     request: &ClientRequest,
 ) -> Result<Response<BoxBody>, RequestError> {
-    let mut attempts = Attempts::new(gateway);
+    let mut attempts = Attempts::new(gateway, request.origin.as_deref());
     loop {
         let exchange = attempts
             .open_exchange(request, request.last_event_id.as_ref())
@@ -114,7 +150,12 @@
     request: ClientRequest,
     in_progress: InProgressGuard,
 ) -> Result<Response<BoxBody>, RequestError> {
-    let mut attempts = Attempts::new(gateway);
+    let mut attempts = Attempts::new(gateway, request.origin.as_deref());
+    let origin = request.origin.clone();
+    let marked = |response, has_marked_end| match &origin {
+        Some(origin) => handover::mark_answered(response, origin, has_marked_end),
+        None => response,
+    };
     let after = request.last_event_id.as_ref().and_then(parse_event_id);
     loop {
         let exchange = attempts
@@ -125,7 +166,7 @@
             match exchange::collect_response(gateway, &request, exchange).await {
                 Ok(response) => {
                     attempts.record_error_response(&request, &response);
-                    return Ok(responses::from_target(response));
+                    return Ok(marked(responses::from_target(response), true));
                 }
                 Err(error) => attempts.record_failure(&request, &target, error)?,
             }
@@ -140,16 +181,18 @@
             Ok(Some(first)) => {
                 events.in_flight().record_first_event();
                 attempts.record_first_event(&request);
-                let head = events.head();
+                let (head, has_marked_end) = (events.head(), events.has_marked_end());
                 let bytes = first.bytes.clone();
                 let relay = Relay::new(request, attempts, events, &first, in_progress);
-                return Ok(responses::with_head(&head, relay_body(bytes, relay)));
+                let response = responses::with_head(&head, relay_body(bytes, relay));
+                return Ok(marked(response, has_marked_end));
             }
             // A client that resumes may have had all events.
             Ok(None) if events.has_marked_end() || after.is_some() => {
                 events.set_outcome(Outcome::Served);
                 attempts.record_completion(&request);
-                return Ok(responses::with_head(&events.head(), BoxBody::new(())));
+                let response = responses::with_head(&events.head(), BoxBody::new(()));
+                return Ok(marked(response, events.has_marked_end()));
             }
             Ok(None) | Err(_) => {
                 let broken = first.err().unwrap_or(StreamError::EndedBeforeFirstEvent);
@@ -261,6 +304,7 @@
         shared_parts,
         arrived_at,
         deadline,
+        origin: None,
     })
 }
 
--- a/crates/daemon/src/gateway/reservations.rs
+++ b/crates/daemon/src/gateway/reservations.rs
@@ -93,6 +93,15 @@
         Ok(reservations)
     }
 
+    /// The reservations of an attempt that a peer makes: it makes them too.
+    pub fn none(gateway: &Rc<Gateway>) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            entries: Rc::default(),
+            renewal_task: None,
+        }
+    }
+
     /// Returns the id of the reservation on a helper engine; `None` if there is no
     /// reservation.
     pub fn id_on(&self, helper: &Helper) -> Option<&str> {
--- a/crates/daemon/src/gateway/response_timeouts.rs
+++ b/crates/daemon/src/gateway/response_timeouts.rs
@@ -5,11 +5,16 @@
 //! therefore probed: it is alive if it has sent bytes to any instance since, or else
 //! if it accepts a connection.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
-use cyclamengauge_core::{clock::Instant, ids::EngineId};
+use cyclamengauge_core::{clock::Instant, serving::reachability::PathState};
 
-use crate::gateway::{Gateway, attempts::Attempts, exchange::ClientRequest, upstream::Connection};
+use crate::gateway::{
+    Gateway,
+    attempts::Attempts,
+    exchange::ClientRequest,
+    paths::{self, TargetAddress},
+};
 
 /// Shortest time without an event of a stream after which its engine is probed.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -41,6 +46,9 @@
 /// objectives.
 const PLAIN_LIMIT_OBJECTIVES: u32 = 2;
 
+/// Interval between two checks whether the peer that makes an attempt is alive.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time for a probed target to accept a connection.
 const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -53,6 +61,18 @@
     accepting_limit: Duration,
     /// Limit if the target sends bytes for other requests.
     active_limit: Duration,
+    /// Whether the wait ends when no target can be reached any more, or when the peer that
+    /// makes the attempt falls silent: another attempt is allowed.
+    can_end_early: bool,
+}
+
+/// What a response depends on.
+#[derive(Clone, Debug)]
+pub struct Awaited {
+    /// The target.
+    pub target: TargetAddress,
+    /// Address of the peer that makes the attempt; none for an attempt of this instance.
+    pub peer: Option<SocketAddr>,
 }
 
 /// Why a wait for a target ended without a result.
@@ -62,12 +82,15 @@
     DeadlineExceeded,
     /// The target sent nothing for this time and failed a probe or reached a limit.
     Silent(Duration),
+    /// This instance reaches no target any more.
+    CutOff,
 }
 
 impl fmt::Display for WaitError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::DeadlineExceeded => f.write_str("request deadline passed"),
+            Self::CutOff => f.write_str("no target can be reached, and no data arrives"),
             Self::Silent(time) => {
                 write!(f, "no data from the target within {} ms", time.as_millis())
             }
@@ -91,6 +114,7 @@
             probe_interval: estimate * 2 + FIRST_EVENT_PROBE_MARGIN,
             accepting_limit: limit,
             active_limit: client_timeout.mul_f64(ACTIVE_LIMIT_SHARE).max(limit),
+            can_end_early: true,
         }
     }
 
@@ -105,6 +129,7 @@
             probe_interval: gap.max(MIN_PROBE_INTERVAL),
             accepting_limit: client_timeout.mul_f64(ACCEPTING_LIMIT_SHARE),
             active_limit: client_timeout.mul_f64(ACTIVE_LIMIT_SHARE),
+            can_end_early: true,
         }
     }
 
@@ -121,55 +146,96 @@
             probe_interval: limit,
             accepting_limit: limit,
             active_limit: limit,
+            can_end_early: true,
+        }
+    }
+
+    /// Limits for the response of a peer, which has its own limits for the target.
+    pub fn for_peer(request: &ClientRequest, attempts: &Attempts) -> Self {
+        Self {
+            can_end_early: attempts.can_retry(request),
+            ..Self::until_deadline(request, attempts)
         }
     }
 
+    /// Whether the wait may end before the deadline.
+    pub fn can_end_early(&self) -> bool {
+        self.can_end_early
+    }
+
     fn until_deadline(request: &ClientRequest, attempts: &Attempts) -> Self {
         let left = attempts.gateway.clock.until(request.deadline);
         Self {
             probe_interval: left,
             accepting_limit: left,
             active_limit: left,
+            can_end_early: false,
         }
     }
 
-    /// Waits for a future that completes on data from `target`.
+    /// Waits for a future that completes on data from a target, or from the peer that passes
+    /// its response on.
     ///
     /// # Errors
     ///
-    /// If the deadline passes, the target fails a probe, or a limit is reached first.
+    /// If the deadline passes, the target fails a probe, a limit is reached, the peer falls
+    /// silent, or no target can be reached any more.
     pub async fn wait<F: Future>(
         &self,
-        gateway: &Gateway,
-        target: (&EngineId, SocketAddr),
+        gateway: &Rc<Gateway>,
+        awaited: &Awaited,
         deadline: Instant,
         future: F,
     ) -> Result<F::Output, WaitError> {
         tokio::pin!(future);
         let since = gateway.clock.now();
-        let (id, address) = target;
         // A target that always has data ready would outlast any time limit.
         if since >= deadline {
             return Err(WaitError::DeadlineExceeded);
         }
-        let mut probe_at = since + self.probe_interval;
+        let service = &awaited.target.service;
+        let ends_when_cut = self.can_end_early && awaited.peer.is_none();
+        let probe_interval = match awaited.peer {
+            Some(_) => PEER_CHECK_INTERVAL,
+            None => self.probe_interval,
+        };
+        let mut probe_at = since + probe_interval;
         loop {
             let wait = gateway.clock.until(probe_at.min(deadline));
-            if let Ok(output) = actix_rt::time::timeout(wait, &mut future).await {
-                return Ok(output);
+            let step = async {
+                tokio::select! {
+                    biased;
+                    output = &mut future => Ok(output),
+                    () = paths::wait_until_hanging(gateway, service), if ends_when_cut => {
+                        Err(WaitError::CutOff)
+                    }
+                }
+            };
+            if let Ok(result) = actix_rt::time::timeout(wait, step).await {
+                return result;
             }
             let now = gateway.clock.now();
             if now >= deadline {
                 return Err(WaitError::DeadlineExceeded);
             }
             let waited = now - since;
+            if let Some(peer) = awaited.peer {
+                if self.can_end_early && !gateway.peers.borrow().is_heard(peer, now) {
+                    return Err(WaitError::Silent(waited));
+                }
+                probe_at = now + probe_interval;
+                continue;
+            }
+            let id = &awaited.target.target;
             let is_active = gateway.targets.borrow().has_received_since(id, since);
             let limit = if is_active {
                 self.active_limit
             } else {
                 self.accepting_limit
             };
-            if waited >= limit || !(is_active || accepts_connections(address).await) {
+            if waited >= limit
+                || !(is_active || accepts_connections(gateway, &awaited.target).await)
+            {
                 return Err(WaitError::Silent(waited));
             }
             probe_at = (now + self.probe_interval).min(since + limit);
@@ -186,8 +252,13 @@
         .max(MIN_CLIENT_TIMEOUT)
 }
 
-async fn accepts_connections(address: SocketAddr) -> bool {
-    Connection::open(address, PROBE_CONNECT_TIMEOUT)
-        .await
-        .is_ok()
+/// Whether a target accepts connections, as far as this can be told: if open connections
+/// outlive a cut of the path, new ones say nothing of the target.
+async fn accepts_connections(gateway: &Rc<Gateway>, target: &TargetAddress) -> bool {
+    let connected = paths::connect(gateway, target, PROBE_CONNECT_TIMEOUT).await;
+    connected.is_ok() || {
+        let reachability = gateway.reachability.borrow();
+        reachability.state(&target.service) == PathState::CutOff
+            && !reachability.hangs(&target.service)
+    }
 }
--- a/crates/daemon/src/gateway/responses.rs
+++ b/crates/daemon/src/gateway/responses.rs
@@ -11,7 +11,10 @@
 use cyclamengauge_core::request::ExecutionState;
 use cyclamengauge_platform::headers;
 
-use crate::{gateway::Gateway, http as server};
+use crate::{
+    gateway::{Gateway, handover},
+    http as server,
+};
 
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [&str; 9] = [
@@ -47,6 +50,9 @@
     PartCrashesEngines,
     /// No target of the service is usable.
     NoTarget,
+    /// Neither this instance nor a peer reaches a target of the service. Holds the time
+    /// after which a retry may succeed.
+    TargetsUnreachable(Duration),
     /// The targets have no free slot or memory, or could not be reached. Holds the
     /// time after which a retry is likely to succeed.
     TargetsBusy(Duration),
@@ -79,6 +85,7 @@
             Self::ContentCrashesEngines => "content-crashes-engines",
             Self::PartCrashesEngines => "prompt-part-crashes-engines",
             Self::NoTarget => "no-target",
+            Self::TargetsUnreachable(_) => "targets-unreachable",
             Self::TargetsBusy(_) => "targets-busy",
             Self::TargetsAtLimit(_) => "targets-at-limit",
             Self::Overloaded(_) => "overloaded",
@@ -103,6 +110,7 @@
             | Self::ContentCrashesEngines
             | Self::PartCrashesEngines
             | Self::NoTarget
+            | Self::TargetsUnreachable(_)
             | Self::TargetsBusy(_)
             | Self::TargetsAtLimit(_)
             | Self::Overloaded(_)
@@ -118,9 +126,10 @@
             // The retry opens a new connection, which reaches another instance.
             Self::ShuttingDown | Self::StaleConfiguration => Some(Duration::from_millis(50)),
             Self::NotConfigured => Some(Duration::from_millis(300)),
-            Self::TargetsBusy(wait) | Self::TargetsAtLimit(wait) | Self::Overloaded(wait) => {
-                Some(wait)
-            }
+            Self::TargetsUnreachable(wait)
+            | Self::TargetsBusy(wait)
+            | Self::TargetsAtLimit(wait)
+            | Self::Overloaded(wait) => Some(wait),
             // Typical restart time of a target.
             Self::NoTarget => Some(Duration::from_millis(1_000)),
             Self::ContentCrashesEngines | Self::PartCrashesEngines | Self::PromptTooLong => {
@@ -135,6 +144,19 @@
         }
     }
 
+    /// The error with a stable name that a peer reports for a request, if it would be the
+    /// same at every instance.
+    pub fn from_peer(name: &str, retry_after: Duration) -> Option<Self> {
+        [
+            Self::TargetsAtLimit(retry_after),
+            Self::Overloaded(retry_after),
+            Self::PromptTooLong,
+            Self::PartCrashesEngines,
+        ]
+        .into_iter()
+        .find(|error| error.name() == name)
+    }
+
     fn execution_state(self) -> ExecutionState {
         match self {
             Self::TargetFailed | Self::TimedOut => ExecutionState::Unknown,
@@ -175,7 +197,10 @@
     let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = Response::with_body(status, body);
     for (name, value) in &head.headers {
-        if is_hop_by_hop(name.as_str()) || name == http::header::CONTENT_LENGTH {
+        if is_hop_by_hop(name.as_str())
+            || name == http::header::CONTENT_LENGTH
+            || name.as_str().starts_with(handover::HEADER_PREFIX)
+        {
             continue;
         }
         let name = HeaderName::from_bytes(name.as_str().as_bytes());
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -9,7 +9,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
-    gateway::{self, Gateway, gauges, gossip, paths, refused_parts, watch},
+    gateway::{self, Gateway, gauges, gossip, paths, peer_keys, refused_parts, watch},
     http, node,
     telemetry::{self, process_events},
 };
@@ -136,7 +136,7 @@
     }));
     let state = Rc::clone(gateway);
     actix_rt::spawn(http::serve(peers, move |request| {
-        gossip::handle_fetch(Rc::clone(&state), request)
+        gossip::handle_call(Rc::clone(&state), request)
     }));
     actix_rt::spawn(watch::watch_configuration(Rc::clone(gateway)));
     actix_rt::spawn(watch::watch_targets(Rc::clone(gateway)));
@@ -144,6 +144,7 @@
     actix_rt::spawn(refused_parts::keep_stored(Rc::clone(gateway)));
     actix_rt::spawn(log_placements(Rc::clone(gateway)));
     actix_rt::spawn(paths::probe_targets(Rc::clone(gateway)));
+    actix_rt::spawn(peer_keys::keep_loaded(Rc::clone(gateway)));
     actix_rt::spawn(gossip::send_messages(
         Rc::clone(gateway),
         Rc::clone(&gossip_socket),
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -3,7 +3,15 @@
 //! A connection carries one request at a time and closes on drop, so that a target
 //! detects that its response is no longer needed.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context as TaskContext, Poll},
+    time::Duration,
+};
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -11,7 +19,10 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
 
 /// Largest response body that is buffered in memory.
 const MAX_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
@@ -19,6 +30,8 @@
 /// An HTTP/1 connection and the task that drives it.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Bytes that were handed to the network.
+    written_bytes: Rc<Cell<u64>>,
     driver: actix_rt::task::JoinHandle<()>,
 }
 
@@ -37,6 +50,11 @@
         stream
             .set_nodelay(true)
             .with_context(|| format!("set TCP_NODELAY on the connection to {address}"))?;
+        let written_bytes = Rc::<Cell<u64>>::default();
+        let stream = CountedStream {
+            stream,
+            written_bytes: Rc::clone(&written_bytes),
+        };
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .with_context(|| format!("HTTP handshake with {address}"))?;
@@ -45,7 +63,11 @@
                 tracing::debug!(%address, %err, "connection: connection to {address} failed: {err}");
             }
         });
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            written_bytes,
+            driver,
+        })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -71,12 +93,76 @@
         collect(response).await
     }
 
+    /// Bytes that were handed to the network so far. A request of more bytes has not arrived
+    /// whole.
+    pub fn written_bytes(&self) -> u64 {
+        self.written_bytes.get()
+    }
+
     /// Whether the connection can carry another request.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed() && !self.driver.is_finished()
     }
 }
 
+/// A stream that counts the bytes written to it.
+struct CountedStream {
+    stream: TcpStream,
+    written_bytes: Rc<Cell<u64>>,
+}
+
+impl CountedStream {
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(length)) = written {
+            let count = self.written_bytes.get() + length as u64;
+            self.written_bytes.set(count);
+        }
+        written
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.count(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
+        self.count(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -187,9 +187,10 @@
 fn set_state(gateway: &Gateway, table: store::Table, state: TableWatch) {
     let watch = match table {
         store::Table::Targets => &gateway.target_list_watch,
-        store::Table::Operators | store::Table::Instances | store::Table::RefusedParts => {
-            &gateway.configuration_watch
-        }
+        store::Table::Operators
+        | store::Table::Instances
+        | store::Table::RefusedParts
+        | store::Table::Keys => &gateway.configuration_watch,
     };
     let before = watch_state(gateway);
     watch.set(state);
@@ -287,7 +288,10 @@
     };
     let since = match table {
         store::Table::Targets => since.max(list_version),
-        store::Table::Operators | store::Table::Instances | store::Table::RefusedParts => since,
+        store::Table::Operators
+        | store::Table::Instances
+        | store::Table::RefusedParts
+        | store::Table::Keys => since,
     };
     let changes = client.wait_for_changes(table, since, feed).await?;
     let Some(rows) = changes else {
@@ -324,7 +328,7 @@
             };
             apply_target_list(gateway, changes, STORE_SOURCE);
         }
-        store::Table::Instances | store::Table::RefusedParts => {}
+        store::Table::Instances | store::Table::RefusedParts | store::Table::Keys => {}
     }
 }
 
--- a/crates/daemon/src/peers/mac.rs
+++ b/crates/daemon/src/peers/mac.rs
@@ -43,13 +43,15 @@
     equals_in_constant_time(&expected, &message.mac) && is_recent(message.sent_unix_ms)
 }
 
-fn compute_mac(bytes: &[u8], key: &[u8; 32]) -> Vec<u8> {
+/// HMAC-SHA-256 of a message under the key.
+pub fn compute_mac(bytes: &[u8], key: &[u8; 32]) -> Vec<u8> {
     let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("any key length is allowed");
     mac.update(bytes);
     mac.finalize().into_bytes().to_vec()
 }
 
-fn equals_in_constant_time(expected: &[u8], received: &[u8]) -> bool {
+/// Whether a received MAC is the expected one.
+pub fn equals_in_constant_time(expected: &[u8], received: &[u8]) -> bool {
     bool::from(expected.ct_eq(received))
 }
 
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -7,7 +7,7 @@
 */
 
 mod exchange;
-mod mac;
+pub mod mac;
 mod server;
 
 pub use exchange::{MAX_LOAD_HINTS, run as run_exchange};
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -201,6 +201,17 @@
     );
 }
 
+/// Logs that a target broke off `request` and accepts no connections since, but that this
+/// is put down to the path from this instance.
+pub fn log_crash_ruled_out(request: &str, target: &EngineId) {
+    tracing::info!(
+        event = "crash-ruled-out",
+        request,
+        %target,
+        "targets: {target} is not taken for crashed, the path to it may be cut"
+    );
+}
+
 /// Logs that prompts with a part are refused because it crashes engines; the latest
 /// crash was reported by the instance `source`.
 pub fn log_part_refused(part: &PromptPartId, source: &str) {
--- a/crates/daemon/src/telemetry/trace.rs
+++ b/crates/daemon/src/telemetry/trace.rs
@@ -13,7 +13,7 @@
 
 use cyclamengauge_core::{
     clock::Instant,
-    ids::{AccountId, EngineId, PromptPartId, ServiceId},
+    ids::{AccountId, EngineId, InstanceId, PromptPartId, ServiceId},
     text::SmolStr,
     units::Tokens,
 };
@@ -93,6 +93,22 @@
         /// Time until the first limit allows another request.
         wait: Duration,
     },
+    /// The request was handed over to a peer, as this instance reaches no target.
+    HandedOver {
+        /// The peer.
+        peer: InstanceId,
+    },
+    /// The request was taken over from a peer that reaches no target.
+    TakenOver {
+        /// The peer.
+        sender: InstanceId,
+        /// Service of the request.
+        service: ServiceId,
+        /// Time until the client's deadline.
+        time_to_deadline: Duration,
+        /// Version of the configuration by which the peer has accepted the request.
+        configuration_version: u64,
+    },
     /// Memory was reserved on the helpers.
     Reserved {
         /// Number of engines with a reservation.
@@ -293,6 +309,8 @@
     dropped_events: Cell<u64>,
     /// Number of targets that were chosen.
     attempts: Cell<u64>,
+    /// Whether a peer has handed the request over, and counts it.
+    is_taken_over: bool,
     /// Class of the request in the metrics.
     class: Cell<&'static str>,
     ended: Cell<bool>,
@@ -301,6 +319,15 @@
 impl Trace {
     /// Creates the trace of a request that has just arrived.
     pub fn begin(log: &Rc<RequestLog>, id: SmolStr) -> Rc<Self> {
+        Self::new(log, id, false)
+    }
+
+    /// Creates the trace of a request that a peer has handed over.
+    pub fn begin_taken_over(log: &Rc<RequestLog>, id: SmolStr) -> Rc<Self> {
+        Self::new(log, id, true)
+    }
+
+    fn new(log: &Rc<RequestLog>, id: SmolStr, is_taken_over: bool) -> Rc<Self> {
         Rc::new(Self {
             id,
             arrived_at: log.clock.now(),
@@ -309,6 +336,7 @@
             events: RefCell::default(),
             dropped_events: Cell::new(0),
             attempts: Cell::new(0),
+            is_taken_over,
             class: Cell::new(UNKNOWN_CLASS),
             ended: Cell::new(false),
         })
@@ -320,6 +348,9 @@
             self.log.add_placement(&self.id, &placement.target);
             self.attempts.set(self.attempts.get() + 1);
         }
+        if let TraceEvent::HandedOver { .. } = &event {
+            self.attempts.set(self.attempts.get() + 1);
+        }
         if let TraceEvent::Received { prompt_tokens, .. } = &event {
             self.class.set(request_class(*prompt_tokens));
         }
@@ -337,11 +368,14 @@
         if self.ended.replace(true) {
             return;
         }
-        metrics::counter!(
-            "cyclamengauge_requests_total",
-            "outcome" => end.outcome,
-            "class" => self.class.get()
-        )
+        match self.is_taken_over {
+            true => metrics::counter!("cyclamengauge_taken_over_total", "outcome" => end.outcome),
+            false => metrics::counter!(
+                "cyclamengauge_requests_total",
+                "outcome" => end.outcome,
+                "class" => self.class.get()
+            ),
+        }
         .increment(1);
         let now = self.log.clock.now();
         let events = self.events.take();
@@ -421,6 +455,28 @@
                 wait_ms = millis(*wait),
                 "route: {request} not placed, the limits of its targets are reached: {targets}"
             ),
+            TraceEvent::HandedOver { peer } => tracing::info!(
+                event = "handed-over",
+                request,
+                at_unix_ms,
+                %peer,
+                "route: {request} handed over to {peer}, no target can be reached"
+            ),
+            TraceEvent::TakenOver {
+                sender,
+                service,
+                time_to_deadline,
+                configuration_version,
+            } => tracing::info!(
+                event = "taken-over",
+                request,
+                at_unix_ms,
+                %sender,
+                %service,
+                left_ms = millis(*time_to_deadline),
+                configuration_version,
+                "request: {request} taken over from {sender} for service {service}"
+            ),
             TraceEvent::Reserved {
                 engines,
                 memory,
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -134,6 +134,15 @@
             targets: "t1 2 requests/s".to_owned(),
             wait: TEST_DURATION,
         },
+        TraceEvent::HandedOver {
+            peer: InstanceId::new("b"),
+        },
+        TraceEvent::TakenOver {
+            sender: InstanceId::new("b"),
+            service: ServiceId::new("engines"),
+            time_to_deadline: TEST_DURATION,
+            configuration_version: 3,
+        },
         TraceEvent::Reserved {
             engines: 2,
             memory: Tokens(500_000),
@@ -233,6 +242,7 @@
         process_events::log_target_entry_faulty("t1", &err);
         process_events::log_target_suspect(&target_id(), "silent", TEST_DURATION);
         process_events::log_target_crashed("r1", &[PromptPartId::new("p1")], &target_id(), &err);
+        process_events::log_crash_ruled_out("r1", &target_id());
         process_events::log_path(&PathChange {
             service: ServiceId::new("engines"),
             before: PathState::Doubtful,
