--- a/crates/core/src/serving/reachability/peers.rs
+++ b/crates/core/src/serving/reachability/peers.rs
@@ -141,8 +141,10 @@
         now: Instant,
     ) -> Option<PeerChoice> {
         let candidates = self.peers.iter().filter_map(|(instance, peer)| {
-            let path = peer.paths.get(service).filter(|path| path.is_open)?;
+            // A peer that has not used the service yet has no reason to doubt it.
+            let path = peer.paths.get(service);
             let is_candidate = peer.takes_requests
+                && path.is_none_or(|path| path.is_open)
                 && now - peer.received_at <= PEER_TIMEOUT
                 && !tried.contains(instance);
             is_candidate.then_some((instance, peer, path))
@@ -155,7 +157,7 @@
                 cost += REMOTE_COST;
             }
             if path
-                .connected_at
+                .and_then(|path| path.connected_at)
                 .is_none_or(|at| now - at > SURE_CONNECTION_AGE)
             {
                 cost += UNSURE_COST;
--- a/crates/daemon/src/gateway/handover.rs
+++ b/crates/daemon/src/gateway/handover.rs
@@ -222,8 +222,13 @@
     connection: Connection,
     mut response: Response<Incoming>,
 ) -> Result<Exchange, Failure> {
+    let is_rejected = response.status().is_client_error();
     let map = response.headers_mut();
-    let outcome = Outcome::of(map);
+    let outcome = match map.contains_key(OUTCOME_HEADER) {
+        // The peer does not know the call, or does not take this one.
+        false if is_rejected => Outcome::NotSent,
+        _ => Outcome::of(map),
+    };
     let peer = in_flight.target.clone();
     if let Some(target) = header_text(map, TARGET_HEADER) {
         in_flight.target = EngineId::new(target);
