--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -333,15 +333,6 @@
             .attempts
             .open_exchange(&self.request, Some(&resume_after))
             .await;
-        if let Err(e) = &opened {
-            eprintln!(
-                self.attempts
-                    .gateway
-                    .reachability
-                    .borrow()
-                    .state(&self.request.service)
-            );
-        }
         let Ok(exchange) = opened else {
             return Err(stream_error);
         };
