Take only a stream for the rest of a broken stream

Errors with a status of their own were held back here, but one that came as a success of another content type was forwarded as an event. A resumed response must have the content type of the first one now.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use cyclamengauge_core::serving::targets::Outcome;
 use http::{
     HeaderValue,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
 use http_body_util::BodyExt;
 
@@ -223,6 +223,8 @@
     /// Last event id of the latest forwarded batch; none if the batch has no id,
     /// which rules out a resumption.
     last_event_id: Option<u64>,
+    /// Type of the first engine's response, in its head at the client.
+    content_type: Option<HeaderValue>,
     /// Whether the current engine has sent an event.
     engine_sent_event: bool,
     _in_progress: InProgressGuard,
@@ -237,10 +239,17 @@
         first: &EventBatch,
         in_progress: InProgressGuard,
     ) -> Self {
+        let content_type = events
+            .exchange
+            .response
+            .headers()
+            .get(CONTENT_TYPE)
+            .cloned();
         Self {
             request,
             attempts,
             events,
+            content_type,
             last_event_id: first.last_event_id,
             engine_sent_event: true,
             _in_progress: in_progress,
@@ -336,7 +345,10 @@
         let Ok(exchange) = opened else {
             return Err(stream_error);
         };
-        if !exchange.response.status().is_success() {
+        // A success of another kind, such as the text of an error, is not the rest.
+        let content_type = exchange.response.headers().get(CONTENT_TYPE);
+        let is_stream = content_type == self.content_type.as_ref();
+        if !exchange.response.status().is_success() || !is_stream {
             return Err(stream_error);
         }
         self.request.trace.add(TraceEvent::Resumed {
