Cut single daemons from all targets in the soak

Each of up to eight daemons has a link of its own to each target, which hangs, is reset, or refuses new connections at random and beside the other faults. After the faults a cut daemon must serve its callers two thirds as often as another one, in each way of cutting it.

--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     TARGET_COUNT, Testbed, harness,
+    link::LinkState,
     proxy::Impairment,
     store::StoreMode,
     target::{Behaviour, ReceivedRequest},
@@ -25,6 +26,9 @@
     "nonsense\r\n\r\n",
 ];
 
+/// Every way in which the links of a daemon are cut.
+pub const CUTS: [LinkState; 3] = [LinkState::Hanging, LinkState::Reset, LinkState::RefusingNew];
+
 /// Returns the script by which a target chooses its behaviour for each request.
 ///
 /// With `faulty`, a random minority of the requests meets a fault. While `refuse_all`
@@ -70,7 +74,7 @@
         let (fault, daemon, pause_ms) = {
             let mut rng = testbed.rng.borrow_mut();
             (
-                rng.u32(..21),
+                rng.u32(..24),
                 rng.usize(..testbed.store_proxies.len()),
                 rng.u64(50..500),
             )
@@ -111,6 +115,11 @@
             }
             18 => *testbed.store_copy.borrow_mut() = Some(testbed.store.copy()),
             19 => restore_store(testbed, version),
+            20 | 21 => {
+                let draw = testbed.rng.borrow_mut().usize(..CUTS.len());
+                cut(testbed, daemon, CUTS[draw]);
+            }
+            22 => cut(testbed, daemon, LinkState::Open),
             _ => {
                 version += 1;
                 testbed
@@ -125,6 +134,13 @@
     version
 }
 
+/// Sets the state of all links of a daemon.
+pub fn cut(testbed: &Testbed, daemon: usize, state: LinkState) {
+    for link in testbed.links.get(daemon).into_iter().flatten() {
+        link.set_state(state);
+    }
+}
+
 /// Lets the store come back from its copy. The operator and the targets write again what it
 /// has lost.
 fn restore_store(testbed: &Testbed, version: u64) {
@@ -145,6 +161,9 @@
     for proxy in testbed.target_proxies.iter().chain(&testbed.store_proxies) {
         proxy.set_impairment(Impairment::None);
     }
+    for daemon in 0..testbed.links.len() {
+        cut(testbed, daemon, LinkState::Open);
+    }
     testbed.store.set_mode(StoreMode::Serving);
     for (i, target) in testbed.targets.iter().enumerate() {
         let refuse_all = Rc::clone(&testbed.refuse_all);
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! store refuses calls, does not respond or comes back from an older copy. Targets return
 //! invalid responses, hang, refuse requests or name limits. Proxies impair the connections of daemons to targets and of single
 //! daemons to the store. Faults overlap. The test checks the responses that clients
-//! receive and the requests that targets receive and execute.
+//! receive and the requests that targets receive and execute. Links cut single daemons from
+//! all targets.
 //!
 //! Environment variables:
 //!
@@ -16,7 +17,10 @@
 #[path = "../../../../platform/tests/gateway/harness.rs"]
 #[allow(dead_code)]
 mod harness;
+#[path = "../../../../platform/tests/gateway/link.rs"]
+mod link;
 #[path = "../../../../platform/tests/gateway/process.rs"]
+#[allow(dead_code)]
 mod process;
 #[path = "../../../../platform/tests/gateway/store.rs"]
 #[allow(dead_code)]
@@ -38,6 +42,7 @@
     time::Duration,
 };
 
+use link::Link;
 use process::DaemonProcess;
 use proxy::Proxy;
 use target::{Behaviour, Target};
@@ -46,6 +51,10 @@
 const TARGET_COUNT: usize = 4;
 const CLIENT_COUNT: usize = 16;
 
+/// Number of daemons up to which each has links of its own to the targets, and a data centre
+/// of its own. More daemons share a data centre, of which two watch the store.
+const MAX_LINKED_DAEMONS: u64 = 8;
+
 /// Time during which faults are injected.
 const FAULT_PHASE_DURATION: Duration = Duration::from_secs(5);
 
@@ -63,6 +72,8 @@
     target_proxies: Vec<Rc<Proxy>>,
     /// `store_proxies[i]` carries the store connections of `processes[i]`.
     store_proxies: Vec<Rc<Proxy>>,
+    /// `links[i]` are those of `processes[i]`, in the order of `targets`.
+    links: Vec<Vec<Rc<Link>>>,
     store: Rc<store::Store>,
     /// State of the store to which it may come back.
     store_copy: RefCell<Option<store::StoreCopy>>,
@@ -100,6 +111,7 @@
     faults::clear(&testbed);
     wait_until_all_serve(&testbed).await;
     recovery::check_limits(&testbed).await;
+    recovery::check_cuts(&testbed).await;
     testbed.clients_running.set(false);
     let mut outcomes = Vec::new();
     for client in clients {
@@ -126,17 +138,39 @@
     store.put("op", "config", &harness::configuration(1));
     let program = Path::new(env!("CARGO_BIN_EXE_cyclamengauged"));
     let (mut processes, mut store_proxies) = (Vec::new(), Vec::new());
+    let mut links = Vec::new();
     let daemon_count = env_number("CYCLAMENGAUGE_SOAK_DAEMONS", DEFAULT_DAEMON_COUNT);
     for i in 0..daemon_count as u8 {
-        let proxy = Proxy::start(store_address).await;
-        processes.push(DaemonProcess::start(program, directory, i, proxy.address));
+        if daemon_count > MAX_LINKED_DAEMONS {
+            let proxy = Proxy::start(store_address).await;
+            processes.push(DaemonProcess::start(program, directory, i, proxy.address));
+            store_proxies.push(proxy);
+            continue;
+        }
+        let own = target_proxies
+            .iter()
+            .map(|proxy| Link::start(proxy.address));
+        let own: Vec<Rc<Link>> = own.collect();
+        let ids = targets.iter().map(|target| target.id.clone());
+        let view = store.start_view(ids.zip(own.iter().map(|link| link.address)).collect());
+        let proxy = Proxy::start(view).await;
+        let data_centre = format!("dc{i}");
+        processes.push(DaemonProcess::start_in(
+            &data_centre,
+            program,
+            directory,
+            i,
+            proxy.address,
+        ));
         store_proxies.push(proxy);
+        links.push(own);
     }
     Testbed {
         processes: RefCell::new(processes),
         targets,
         target_proxies,
         store_proxies,
+        links,
         store,
         store_copy: RefCell::default(),
         rng: RefCell::new(fastrand::Rng::with_seed(seed)),
--- a/crates/daemon/tests/soak/recovery.rs
+++ b/crates/daemon/tests/soak/recovery.rs
@@ -9,7 +9,7 @@
 
 use serde_json::json;
 
-use crate::{RECOVERY_TIMEOUT, Testbed, clients, faults, harness};
+use crate::{RECOVERY_TIMEOUT, Testbed, clients, faults, harness, link::LinkState};
 
 /// Consecutive requests, spread over the daemons, none of which may reach a draining
 /// target.
@@ -24,6 +24,9 @@
 /// Limits that two targets name.
 const LIMITS_PER_S: [u32; 2] = [1, 6];
 
+/// Requests to the cut daemon and to another one.
+const CUT_PROBE_COUNT: usize = 20;
+
 /// Changes of the target list that a restored store has lost.
 const LOST_CHANGES: u32 = 50;
 
@@ -63,6 +66,38 @@
     }
 }
 
+/// Checks, in each way of cutting the first daemon from all targets, that it serves its
+/// callers at least two thirds as often as the other daemons do.
+pub async fn check_cuts(testbed: &Testbed) {
+    if testbed.links.is_empty() {
+        return;
+    }
+    let addresses = || {
+        let processes = testbed.processes.borrow();
+        let addresses = processes.iter().map(|process| process.client_address);
+        addresses.collect::<Vec<SocketAddr>>()
+    };
+    for state in faults::CUTS {
+        faults::cut(testbed, 0, state);
+        actix_rt::time::sleep(CONTACT_TIME).await;
+        let mut served = [0; 2];
+        for number in 0..CUT_PROBE_COUNT {
+            for (count, daemon) in [(0, 0), (1, 1)] {
+                let id = format!("cut{number}");
+                let status = clients::probe(addresses()[daemon], "/read/", &id).await;
+                served[count] += usize::from(status == Some(200));
+            }
+        }
+        assert!(
+            3 * served[0] >= 2 * served[1],
+            "{state:?}: the cut daemon served {} of {CUT_PROBE_COUNT}, another one {}",
+            served[0],
+            served[1]
+        );
+        faults::cut(testbed, 0, LinkState::Open);
+    }
+}
+
 /// Checks that no connection to a target leaks, that a configuration of version
 /// `version` takes effect, and that a draining target gets no requests.
 pub async fn check(testbed: &Testbed, version: u64) {
