Let the rest of a broken stream wait as long as its client does

Seen by callers: a stream of a long prompt that broke 9 s after its start was ended in the same millisecond, with 6.8 s left until its deadline (LOST). Cause: the wait in the long-prompt queue counted from the arrival of the request, and a request whose expected wait is too long is refused; a stream under way has nothing to be refused for. Change: it waits until its deadline or until the client gives up for want of events; new prompts as before. The decision is core/serving/queue's now. Result: two tests of the core; by the former formula the first gave up at once (0 ms left of 0.6 * 10 s after 8.2 s).

--- a/crates/core/src/serving/queue.rs
+++ b/crates/core/src/serving/queue.rs
@@ -47,6 +47,62 @@
 /// arrive meanwhile.
 const PREFILL_TIME_SHARE: f64 = 0.75;
 
+/// Share of the time until the client gives up that a new prompt may spend in the queue.
+/// The rest is for the prefill.
+const QUEUE_WAIT_SHARE: f64 = 0.6;
+
+/// How long a prompt may stay in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Patience {
+    /// A new prompt is refused once it can't be dispatched by this time: its client can
+    /// return later.
+    New(Instant),
+    /// The rest of a stream that broke waits until this time, whatever the expected wait is:
+    /// ending it earlier would help nobody.
+    UnderWay(Instant),
+}
+
+impl Patience {
+    /// Patience of a new prompt. Its client has waited since `arrived_at`, gives up after
+    /// `client_timeout`, and needs the complete response by `deadline`.
+    pub fn of_new(
+        arrived_at: Instant,
+        client_timeout: Duration,
+        deadline: Instant,
+        now: Instant,
+    ) -> Self {
+        let waited = now - arrived_at;
+        let client_wait = client_timeout.mul_f64(QUEUE_WAIT_SHARE);
+        let client_wait = client_wait.saturating_sub(waited);
+        let left = (deadline - now).mul_f64(QUEUE_WAIT_SHARE);
+        Self::New(now + client_wait.min(left))
+    }
+
+    /// Patience of the rest of a stream whose latest event came at `last_event_at`.
+    pub fn of_stream_under_way(
+        last_event_at: Instant,
+        client_timeout: Duration,
+        deadline: Instant,
+    ) -> Self {
+        Self::UnderWay(deadline.min(last_event_at + client_timeout))
+    }
+
+    /// Whether a prompt that expects a wait leaves the queue.
+    pub fn is_exhausted(self, expected_wait: Duration, now: Instant) -> bool {
+        match self {
+            Self::New(latest) => now + expected_wait >= latest,
+            Self::UnderWay(latest) => now >= latest,
+        }
+    }
+
+    /// Time that is left at most.
+    pub fn left(self, now: Instant) -> Duration {
+        match self {
+            Self::New(latest) | Self::UnderWay(latest) => latest - now,
+        }
+    }
+}
+
 /// Id of a queued prompt, unique in its queue and ascending in order of arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EntryId(u64);
--- a/crates/core/tests/serving/queue.rs
+++ b/crates/core/tests/serving/queue.rs
@@ -4,7 +4,7 @@
 
 use cyclamengauge_core::{
     ids::InstanceId,
-    serving::queue::{Queue, QueuedPrompt},
+    serving::queue::{Patience, Queue, QueuedPrompt},
 };
 
 use crate::fleet::{ENGINES, ms};
@@ -123,3 +123,30 @@
     assert!(queue.is_next(longest, 150, ms(0)));
     assert!(!queue.is_next(late, 150, ms(0)));
 }
+
+/// Guards against a stream that is ended in the moment in which it breaks, with seconds left
+/// until its deadline, as the wait in the queue counted from the arrival of the request, and
+/// against one that is given up because a long wait is expected.
+#[test]
+fn the_rest_of_a_long_stream_waits_as_long_as_its_client_does() {
+    let client_timeout = Duration::from_secs(10);
+    let patience = Patience::of_stream_under_way(ms(7_900), client_timeout, ms(15_000));
+    let expected_wait = Duration::from_millis(6_500);
+    assert!(!patience.is_exhausted(expected_wait, ms(8_200)));
+    assert!(!patience.is_exhausted(expected_wait, ms(14_900)));
+    assert!(patience.is_exhausted(expected_wait, ms(15_000)));
+    // The client gives up after this time without an event.
+    let patience = Patience::of_stream_under_way(ms(3_000), client_timeout, ms(15_000));
+    assert!(!patience.is_exhausted(expected_wait, ms(12_900)));
+    assert!(patience.is_exhausted(expected_wait, ms(13_000)));
+}
+
+/// Guards against a new prompt that waits although it can't be served in time.
+#[test]
+fn a_new_prompt_is_refused_at_once_if_the_expected_wait_is_too_long() {
+    let client_timeout = Duration::from_secs(10);
+    let patience = Patience::of_new(ms(0), client_timeout, ms(15_000), ms(0));
+    assert!(!patience.is_exhausted(Duration::from_millis(5_900), ms(0)));
+    assert!(patience.is_exhausted(Duration::from_millis(6_000), ms(0)));
+    assert!(patience.is_exhausted(Duration::from_millis(100), ms(5_950)));
+}
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -9,7 +9,7 @@
     serving::{
         peers,
         placement::{self, EngineCount, Placement, PlacementError, PlacementRequest},
-        queue::{self, EntryId},
+        queue::{self, EntryId, Patience},
         reachability::{Path, PeerChoice},
         targets::Targets,
     },
@@ -40,10 +40,6 @@
 /// Time between two checks of a queued prompt if no load changes.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(15);
 
-/// Share of the client timeout, and of the time until the deadline, that a long
-/// prompt may spend in the queue.
-const QUEUE_WAIT_SHARE: f64 = 0.6;
-
 /// Shortest retry delay for a long prompt that the queue refused.
 const MIN_OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -478,12 +474,11 @@
             return Ok(placement);
         }
         let queued_at = self.gateway.clock.now();
-        let max_wait = self.max_queue_wait(request);
-        let latest = queued_at + max_wait;
+        let patience = self.queue_patience(request);
         let entry = QueueEntry::enqueue(&self.gateway, request, prefill_time);
         request.trace.add(TraceEvent::Queued {
             expected_wait: entry.expected_wait(self.count_engines(request)),
-            max_wait,
+            max_wait: patience.left(queued_at),
             peers: self.gateway.instance_count() - 1,
         });
         loop {
@@ -492,7 +487,7 @@
             }
             let engines = self.count_engines(request);
             let wait = entry.expected_wait(engines);
-            if self.gateway.clock.now() + wait >= latest {
+            if patience.is_exhausted(wait, self.gateway.clock.now()) {
                 return Err(self.overloaded_error(request, wait));
             }
             if entry.is_next(engines) {
@@ -505,7 +500,7 @@
                     // Stays queued until other requests free memory or the backlog shrinks.
                     Ok(_) | Err(RequestError::Gateway(GatewayError::TargetsBusy(_))) => {}
                     Err(RequestError::Gateway(GatewayError::TargetsAtLimit(wait)))
-                        if self.gateway.clock.now() + wait < latest => {}
+                        if !patience.is_exhausted(wait, self.gateway.clock.now()) => {}
                     Err(error) => return Err(error),
                 }
             }
@@ -521,15 +516,16 @@
         placement::count_engines(&targets, &request.service, gap, now)
     }
 
-    /// Longest time that the request may spend in the queue.
-    fn max_queue_wait(&self, request: &ClientRequest) -> Duration {
-        let left = self.gateway.clock.until(request.deadline);
-        let client_timeout = client_timeout(request);
-        let elapsed = self.gateway.clock.now() - request.arrived_at;
-        let client_wait = client_timeout
-            .mul_f64(QUEUE_WAIT_SHARE)
-            .saturating_sub(elapsed);
-        client_wait.min(left.mul_f64(QUEUE_WAIT_SHARE))
+    /// How long the request may stay in the queue.
+    fn queue_patience(&self, request: &ClientRequest) -> Patience {
+        let (client_timeout, deadline) = (client_timeout(request), request.deadline);
+        match self.last_event_at {
+            Some(at) => Patience::of_stream_under_way(at, client_timeout, deadline),
+            None => {
+                let now = self.gateway.clock.now();
+                Patience::of_new(request.arrived_at, client_timeout, deadline, now)
+            }
+        }
     }
 
     fn overloaded_error(&self, request: &ClientRequest, wait: Duration) -> RequestError {
