Let a handed-over rest of a stream wait as long as at the first instance

A peer took the rest of a stream for a new prompt that had waited since its arrival, and would have refused it at once in its queue, as the first instance did before. The message says when the latest event came.

--- a/crates/core/src/serving/reachability/mod.rs
+++ b/crates/core/src/serving/reachability/mod.rs
@@ -327,7 +327,7 @@
     /// Where the next attempt of a request goes. `tried` are the peers that it was handed
     /// over to before, `is_first` says whether none of its attempts has failed.
     pub fn path(
-        &mut self,
+        &self,
         service: &ServiceId,
         data_centre: &DataCentreId,
         tried: &[InstanceId],
--- a/crates/core/tests/serving/reachability.rs
+++ b/crates/core/tests/serving/reachability.rs
@@ -103,7 +103,7 @@
     /// Where a request of a client goes; connects to a target if it stays here.
     fn request(&mut self, node: usize, is_first: bool) -> Path {
         let (now, data_centre) = (self.now(), self.nodes[node].data_centre.clone());
-        let reachability = &mut self.nodes[node].reachability;
+        let reachability = &self.nodes[node].reachability;
         let path = reachability.path(&engines(), &data_centre, &[], is_first, &mut self.rng, now);
         match &path {
             Path::Direct => {
@@ -386,7 +386,7 @@
     }
     fleet.run_until(4_000, 50);
     let (now, data_centre) = (fleet.now(), DataCentreId::new("dc0"));
-    let reachability = &mut fleet.nodes[0].reachability;
+    let reachability = &fleet.nodes[0].reachability;
     assert_eq!(reachability.state(&engines()), PathState::CutOff);
     let path = reachability.path(&app, &data_centre, &[], true, &mut fleet.rng, now);
     assert_eq!(path, Path::Direct);
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/attempts.rs
@@ -20,7 +20,7 @@
     gateway::{
         Gateway,
         exchange::{self, AttemptError, ClientRequest, Exchange},
-        handover::{self, Failure, Origin, TakenOverGuard},
+        handover::{self, Failure, Origin, Resumed, TakenOverGuard},
         paths,
         response_timeouts::{ResponseTimeouts, client_timeout},
         responses::GatewayError,
@@ -180,7 +180,7 @@
             estimate: Duration::ZERO,
             is_long: false,
             time_to_first_event: None,
-            last_event_at: None,
+            last_event_at: origin.and_then(|origin| origin.last_event_at),
             longest_gap: None,
             excluded: origin.map_or_else(Vec::new, |origin| origin.excluded.clone()),
             tried_peers: Vec::new(),
@@ -259,7 +259,7 @@
             let is_first = self.attempt_count() == 0;
             let path = {
                 let settings = gateway.settings.borrow();
-                gateway.reachability.borrow_mut().path(
+                gateway.reachability.borrow().path(
                     &request.service,
                     &settings.data_centre,
                     &self.tried_peers,
@@ -291,8 +291,11 @@
         self.sent_attempts += 1;
         let timeouts = ResponseTimeouts::for_peer(request, self);
         let gateway = Rc::clone(&self.gateway);
-        let (excluded, after) = (&self.excluded, last_event_id);
-        handover::send(&gateway, request, peer, excluded, after, timeouts).await
+        let resumed = last_event_id.map(|after| Resumed {
+            after,
+            last_event_at: self.last_event_at,
+        });
+        handover::send(&gateway, request, peer, &self.excluded, resumed, timeouts).await
     }
 
     /// Records an attempt that was handed over and failed.
--- a/crates/daemon/src/gateway/handover.rs
+++ b/crates/daemon/src/gateway/handover.rs
@@ -94,12 +94,23 @@
     pub excluded: Vec<EngineId>,
     /// Whether the peer may make another attempt.
     pub may_retry: bool,
+    /// Time of the latest event of a stream that has begun.
+    pub last_event_at: Option<Instant>,
     /// Whether the request was sent to a target.
     pub was_sent: Cell<bool>,
     /// Target of the latest attempt.
     pub target: RefCell<Option<EngineId>>,
 }
 
+/// The point at which a stream is resumed.
+#[derive(Clone, Copy, Debug)]
+pub struct Resumed<'a> {
+    /// Id of the event after which it goes on.
+    pub after: &'a HeaderValue,
+    /// Time of the latest event; none if the client resumes the stream.
+    pub last_event_at: Option<Instant>,
+}
+
 /// What came of a peer's attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -164,7 +175,7 @@
     request: &ClientRequest,
     peer: &PeerChoice,
     excluded: &[EngineId],
-    last_event_id: Option<&HeaderValue>,
+    resumed: Option<Resumed<'_>>,
     timeouts: ResponseTimeouts,
 ) -> Result<Exchange, Failure> {
     let mut in_flight = InFlightGuard::begin_handover(gateway, &request.service, peer);
@@ -179,7 +190,7 @@
             excludes_peer: true,
         }
     };
-    let Some(message) = encode(gateway, request, peer, excluded, last_event_id, timeouts) else {
+    let Some(message) = encode(gateway, request, peer, excluded, resumed, timeouts) else {
         let err = anyhow::anyhow!("hand over: the key of the instances is not loaded");
         return Err(fail(&in_flight, AttemptError::NotSent, &err));
     };
@@ -286,7 +297,7 @@
     request: &ClientRequest,
     peer: &PeerChoice,
     excluded: &[EngineId],
-    last_event_id: Option<&HeaderValue>,
+    resumed: Option<Resumed<'_>>,
     timeouts: ResponseTimeouts,
 ) -> Option<Vec<u8>> {
     let number = gateway.last_handover.get() + 1;
@@ -300,7 +311,8 @@
         prompt_tokens: stream.prompt.get(),
         output_tokens: stream.output.get(),
     });
-    let last_event_id = last_event_id.and_then(|id| id.to_str().ok());
+    let last_event_id = resumed.and_then(|resumed| resumed.after.to_str().ok());
+    let last_event_at = resumed.and_then(|resumed| resumed.last_event_at);
     let mut message = v1::HandedOverRequest {
         sender: gateway.settings.borrow().instance.to_string(),
         sender_incarnation: gateway.incarnation,
@@ -333,6 +345,7 @@
         configuration_version: gateway.configuration_version(),
         may_retry: timeouts.can_end_early(),
         mac: Vec::new(),
+        last_event_age_ms: last_event_at.map(|at| millis(gateway.clock.now() - at)),
     };
     message.mac = gateway.peer_keys.sign(&message.encode_to_vec())?;
     Some(message.encode_to_vec())
@@ -526,6 +539,9 @@
         origin: Some(Rc::new(Origin {
             excluded: message.excluded.iter().map(EngineId::new).collect(),
             may_retry: message.may_retry,
+            last_event_at: message.last_event_age_ms.map(|age_ms| {
+                Instant::from_start(now.since_start().saturating_sub(millis(age_ms)))
+            }),
             was_sent: Cell::new(false),
             target: RefCell::default(),
         })),
