--- a/crates/core/src/serving/reachability/mod.rs
+++ b/crates/core/src/serving/reachability/mod.rs
@@ -170,11 +170,6 @@
             .map_or(PathState::Open, |path| path.state)
     }
 
-    /// Start of the failures that made the path to a service doubtful or worse.
-    pub fn failing_since(&self, service: &ServiceId) -> Option<Instant> {
-        self.services.get(service)?.first_failed_at
-    }
-
     /// Records that a connection to a target, begun at `started_at`, was opened.
     pub fn record_connected(
         &mut self,
