Promise nothing about a request whose message a copy has overtaken

A message of an instance whose number was taken before was rejected with 403, which the sender took for not sent, and told its caller so (503). If a copy came first, the request may have run. The answer says broken now, so the caller gets 502. Found when the whole change was read again; it needs somebody who copies messages on the instances' network.

--- a/crates/daemon/src/gateway/handover.rs
+++ b/crates/daemon/src/gateway/handover.rs
@@ -414,7 +414,10 @@
             let name = rejection.name();
             let err = anyhow::anyhow!("take request {number} of {sender}: {name}");
             reject(&gateway, &err);
-            return server::text(403, "rejected\n");
+            let mut response = server::text(403, "rejected\n");
+            // The copy that came first may have run.
+            insert(&mut response, OUTCOME_HEADER, Outcome::Broken.name());
+            return response;
         }
     };
     let trace = Trace::begin_taken_over(&gateway.request_log, SmolStr::new(&message.request));
--- a/crates/daemon/tests/handover/main.rs
+++ b/crates/daemon/tests/handover/main.rs
@@ -135,7 +135,10 @@
         sign(&mut signed, &key);
         let response = send(signed.clone()).await;
         assert_eq!(status_code(&response), 200, "{response}");
-        assert_eq!(status_code(&send(signed).await), 403, "a copy is taken");
+        let copy = send(signed).await;
+        assert_eq!(status_code(&copy), 403, "a copy is taken");
+        // The sender must not report that the request has not run.
+        assert!(copy.contains("cyclamengauge-outcome: broken"), "{copy}");
         assert_eq!(target.request_count(), 1);
         let account = target.received.borrow()[0]
             .headers
