--- a/review/standins/endless.rs
+++ b/review/standins/endless.rs
@@ -194,6 +194,9 @@
     for thread in threads {
         let _ = thread.join();
     }
+    if has_trouble() && engines.faulty_bytes.load(Ordering::SeqCst) == 0 {
+        common::could_not_run("no engine gave the faulty answer");
+    }
     record.line(&format!("most memory of the daemon: {} MiB", most >> 20));
     let answers = lock(&clients.answers);
     let run = lock(&engines.run);
--- a/review/standins/interim.rs
+++ b/review/standins/interim.rs
@@ -188,6 +188,9 @@
     }
     daemon.kill();
 
+    if has_trouble() && state.sent_bytes.load(Ordering::SeqCst) == 0 {
+        common::could_not_run("no engine gave the faulty answer");
+    }
     let attempts = lock(&state.attempts);
     let lasting = |limit: u64| {
         let longer = attempts
--- a/review/standins/switching.rs
+++ b/review/standins/switching.rs
@@ -103,6 +103,9 @@
     }
     daemon.kill();
 
+    if has_trouble() && lock(&state.wrong).is_empty() {
+        common::could_not_run("the engine gave no faulty answer");
+    }
     let attempts = lock(&state.attempts);
     let unasked = attempts
         .iter()
