gateway: floors as folders that import only from those below

Change: folders `response` (heads and errors that clients are told), `attempt` (connections, one exchange, time limits, events, guards), `handover` (attempts made by or for a peer) and `request` (admission, queueing, retries, resumption). Each imports only from those below, and no two files import each other. A request of a peer is a type of its own, `TakenRequest`, so that `ClientRequest` no longer knows where it comes from. Time limits take an `Outlook` in place of the attempts' state. All guards are in one file. Behaviour is unchanged; no test is changed.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/attempt/events.rs
@@ -1,9 +1,4 @@
-//! Forwarding of event streams from an engine to a client.
-//!
-//! Only complete events are forwarded, as they arrive. If a stream breaks and its
-//! route allows it, the stream is resumed on another engine after the last
-//! forwarded event. Otherwise the client connection is closed, so that the client
-//! doesn't take the partial stream for a complete one.
+//! Events of a target's stream. Only complete events are returned, as they arrive.
 
 use std::{fmt, rc::Rc};
 
@@ -15,15 +10,15 @@
 };
 use http_body_util::BodyExt;
 
-use crate::{
-    gateway::{
-        Gateway,
-        attempts::{Attempts, InProgressGuard},
-        exchange::{self, AttemptError, ClientRequest, Exchange, InFlightGuard},
-        handover,
-        response_timeouts::{ResponseTimeouts, WaitError},
+use crate::gateway::{
+    Gateway,
+    attempt::{
+        body::Exchange,
+        client_request::ClientRequest,
+        guards::InFlightGuard,
+        timeouts::{ResponseTimeouts, WaitError},
     },
-    telemetry::trace::TraceEvent,
+    response,
 };
 
 /// Maximum length of an event and the comments before it; also limits the buffer of a
@@ -82,7 +77,7 @@
     /// The events as received.
     pub bytes: Bytes,
     /// Id of the last event with an id; none if no event has one.
-    last_event_id: Option<u64>,
+    pub last_event_id: Option<u64>,
 }
 
 impl EventReader {
@@ -104,11 +99,16 @@
         parts
     }
 
+    /// Type of the response.
+    pub fn content_type(&self) -> Option<&HeaderValue> {
+        self.exchange.response.headers().get(CONTENT_TYPE)
+    }
+
     /// Whether the end of the body is marked by its framing. A body that ends with its
     /// connection may also have been cut off by a crash.
     pub fn has_marked_end(&self) -> bool {
         let map = self.exchange.response.headers();
-        !handover::has_unmarked_end(map)
+        !map.contains_key(response::UNMARKED_END_HEADER)
             && (map.contains_key(TRANSFER_ENCODING) || map.contains_key(CONTENT_LENGTH))
     }
 
@@ -215,152 +215,6 @@
     }
 }
 
-/// A stream that is being forwarded to a client.
-pub struct Relay {
-    request: ClientRequest,
-    attempts: Attempts,
-    events: EventReader,
-    /// Last event id of the latest forwarded batch; none if the batch has no id,
-    /// which rules out a resumption.
-    last_event_id: Option<u64>,
-    /// Type of the first engine's response, in its head at the client.
-    content_type: Option<HeaderValue>,
-    /// Whether the current engine has sent an event.
-    engine_sent_event: bool,
-    _in_progress: InProgressGuard,
-}
-
-impl Relay {
-    /// Creates the relay for the rest of a stream after its `first` events.
-    pub fn new(
-        request: ClientRequest,
-        attempts: Attempts,
-        events: EventReader,
-        first: &EventBatch,
-        in_progress: InProgressGuard,
-    ) -> Self {
-        let content_type = events
-            .exchange
-            .response
-            .headers()
-            .get(CONTENT_TYPE)
-            .cloned();
-        Self {
-            request,
-            attempts,
-            events,
-            content_type,
-            last_event_id: first.last_event_id,
-            engine_sent_event: true,
-            _in_progress: in_progress,
-        }
-    }
-
-    /// Returns the next complete events; `None` at the end of the stream.
-    ///
-    /// # Errors
-    ///
-    /// If the stream broke and can't be resumed on another engine.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, StreamError> {
-        loop {
-            match self.next_from_engine().await {
-                Ok(Some(batch)) => {
-                    self.engine_sent_event = true;
-                    self.attempts.record_event();
-                    self.last_event_id = batch.last_event_id;
-                    return Ok(Some(batch.bytes));
-                }
-                Ok(None) => {
-                    self.events.set_outcome(Outcome::Served);
-                    match self.events.has_marked_end() {
-                        true => self.attempts.record_written_stream(&self.request),
-                        false => exchange::suspect_crash(
-                            &self.attempts.gateway,
-                            &self.request,
-                            self.events.in_flight(),
-                        ),
-                    }
-                    self.attempts.record_completion(&self.request);
-                    return Ok(None);
-                }
-                Err(err) => {
-                    if let Err(err) = self.resume_on_another_engine(err).await {
-                        self.attempts.record_cut_off(&self.request);
-                        return Err(err);
-                    }
-                }
-            }
-        }
-    }
-
-    async fn next_from_engine(&mut self) -> Result<Option<EventBatch>, StreamError> {
-        let timeouts = match self.engine_sent_event {
-            true => ResponseTimeouts::for_next_event(&self.request, &self.attempts),
-            false => ResponseTimeouts::for_first_event(&self.request, &self.attempts),
-        };
-        self.events
-            .next_with_timeout(
-                &self.attempts.gateway,
-                &self.request,
-                timeouts,
-                self.last_event_id,
-            )
-            .await
-    }
-
-    /// Requests the rest of the stream from another engine. Returns `stream_error`
-    /// if the stream can't be resumed.
-    async fn resume_on_another_engine(
-        &mut self,
-        stream_error: StreamError,
-    ) -> Result<(), StreamError> {
-        let target = self.events.exchange.in_flight.target.clone();
-        self.request.trace.add(TraceEvent::StreamBroke {
-            target: target.clone(),
-            last_event_id: self.last_event_id,
-            cause: stream_error.to_string(),
-        });
-        if stream_error.is_possible_crash() {
-            exchange::suspect_crash(
-                &self.attempts.gateway,
-                &self.request,
-                self.events.in_flight(),
-            );
-        }
-        let Some(last_event_id) = self.last_event_id else {
-            return Err(stream_error);
-        };
-        let resume_after = HeaderValue::from(last_event_id);
-        if self
-            .attempts
-            .record_failure(&self.request, &target, AttemptError::Broken)
-            .is_err()
-        {
-            return Err(stream_error);
-        }
-        let opened = self
-            .attempts
-            .open_exchange(&self.request, Some(&resume_after))
-            .await;
-        let Ok(exchange) = opened else {
-            return Err(stream_error);
-        };
-        // A success of another kind, such as the text of an error, is not the rest.
-        let content_type = exchange.response.headers().get(CONTENT_TYPE);
-        let is_stream = content_type == self.content_type.as_ref();
-        if !exchange.response.status().is_success() || !is_stream {
-            return Err(stream_error);
-        }
-        self.request.trace.add(TraceEvent::Resumed {
-            target: exchange.in_flight.target.clone(),
-            last_event_id,
-        });
-        self.events = EventReader::new(exchange);
-        self.engine_sent_event = false;
-        Ok(())
-    }
-}
-
 /// Returns the index after the first complete event in `buffer`: after its first
 /// empty line.
 fn event_end(buffer: &[u8]) -> Option<usize> {
--- a/crates/daemon/src/gateway/paths.rs
+++ b/crates/daemon/src/gateway/attempt/paths.rs
@@ -1,10 +1,10 @@
 //! Connections to targets, and what they show of the path from this instance to them.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use cyclamengauge_core::{
     clock::Instant,
-    ids::{EngineId, ServiceId},
+    ids::ServiceId,
     serving::{
         reachability::{PathChange, PathState, PeerReport, Probe},
         targets::Outcome,
@@ -13,7 +13,7 @@
 use futures_util::future;
 
 use crate::{
-    gateway::{Gateway, exchange, upstream::Connection},
+    gateway::{Gateway, attempt::awaited::TargetAddress, upstream::Connection},
     telemetry::process_events,
 };
 
@@ -36,17 +36,6 @@
 /// instance's own path.
 const MIN_FAILED_CONTROLS: usize = 2;
 
-/// A target to connect to.
-#[derive(Clone, Debug)]
-pub struct TargetAddress {
-    /// Service of the target.
-    pub service: ServiceId,
-    /// Id of the target.
-    pub target: EngineId,
-    /// Listen address.
-    pub address: SocketAddr,
-}
-
 /// Connects to a target and records the result for its path.
 ///
 /// # Errors
@@ -212,7 +201,7 @@
         let now = gateway.clock.now();
         let mut targets = gateway.targets.borrow_mut();
         let exclusion = targets.record_outcome(&target.target, Outcome::Silent, now);
-        exchange::log_exclusion(&target.target, Outcome::Silent, exclusion);
+        process_events::log_exclusion(&target.target, Outcome::Silent, exclusion);
     }
 }
 
--- a/crates/daemon/src/gateway/response_timeouts.rs
+++ b/crates/daemon/src/gateway/attempt/timeouts.rs
@@ -5,15 +5,17 @@
 //! therefore probed: it is alive if it has sent bytes to any instance since, or else
 //! if it accepts a connection.
 
-use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
+use std::{fmt, rc::Rc, time::Duration};
 
 use cyclamengauge_core::{clock::Instant, serving::reachability::PathState};
 
 use crate::gateway::{
     Gateway,
-    attempts::Attempts,
-    exchange::ClientRequest,
-    paths::{self, TargetAddress},
+    attempt::{
+        awaited::{Awaited, TargetAddress},
+        client_request::ClientRequest,
+        paths,
+    },
 };
 
 /// Shortest time without an event of a stream after which its engine is probed.
@@ -66,13 +68,16 @@
     can_end_early: bool,
 }
 
-/// What a response depends on.
-#[derive(Clone, Debug)]
-pub struct Awaited {
-    /// The target.
-    pub target: TargetAddress,
-    /// Address of the peer that makes the attempt; none for an attempt of this instance.
-    pub peer: Option<SocketAddr>,
+/// What is known of an attempt when its time limits are set.
+#[derive(Clone, Copy, Debug)]
+pub struct Outlook {
+    /// Estimated time to the first event.
+    pub estimate: Duration,
+    /// Whether the prompt is long.
+    pub is_long: bool,
+    /// Whether another attempt is allowed if this one fails after it may have executed the
+    /// request.
+    pub can_retry: bool,
 }
 
 /// Why a wait for a target ended without a result.
@@ -100,13 +105,13 @@
 
 impl ResponseTimeouts {
     /// Limits for the first event of a stream.
-    pub fn for_first_event(request: &ClientRequest, attempts: &Attempts) -> Self {
-        if !attempts.can_retry(request) {
-            return Self::until_deadline(request, attempts);
+    pub fn for_first_event(gateway: &Gateway, request: &ClientRequest, outlook: Outlook) -> Self {
+        if !outlook.can_retry {
+            return Self::until_deadline(gateway, request);
         }
-        let estimate = attempts.estimate;
+        let estimate = outlook.estimate;
         let client_timeout = client_timeout(request);
-        let limit = match attempts.is_long {
+        let limit = match outlook.is_long {
             true => client_timeout.mul_f64(ACCEPTING_LIMIT_SHARE),
             false => estimate + FIRST_EVENT_LIMIT_MARGIN,
         };
@@ -119,9 +124,9 @@
     }
 
     /// Limits for the next event of a stream.
-    pub fn for_next_event(request: &ClientRequest, attempts: &Attempts) -> Self {
-        if !attempts.can_retry(request) {
-            return Self::until_deadline(request, attempts);
+    pub fn for_next_event(gateway: &Gateway, request: &ClientRequest, outlook: Outlook) -> Self {
+        if !outlook.can_retry {
+            return Self::until_deadline(gateway, request);
         }
         let gap = request.stream.as_ref().map_or(Duration::ZERO, |s| s.gap);
         let client_timeout = client_timeout(request);
@@ -135,11 +140,11 @@
 
     /// Limits for the response of a plain service. No probe, as a target that hangs
     /// may still accept connections.
-    pub fn for_plain(request: &ClientRequest, attempts: &Attempts) -> Self {
-        if !attempts.can_retry(request) {
-            return Self::until_deadline(request, attempts);
+    pub fn for_plain(gateway: &Gateway, request: &ClientRequest, outlook: Outlook) -> Self {
+        if !outlook.can_retry {
+            return Self::until_deadline(gateway, request);
         }
-        let left = attempts.gateway.clock.until(request.deadline);
+        let left = gateway.clock.until(request.deadline);
         let limit = (request.route.objective * PLAIN_LIMIT_OBJECTIVES).max(MIN_PLAIN_LIMIT);
         let limit = limit.min(left / 2);
         Self {
@@ -151,10 +156,10 @@
     }
 
     /// Limits for the response of a peer, which has its own limits for the target.
-    pub fn for_peer(request: &ClientRequest, attempts: &Attempts) -> Self {
+    pub fn for_peer(gateway: &Gateway, request: &ClientRequest, outlook: Outlook) -> Self {
         Self {
-            can_end_early: attempts.can_retry(request),
-            ..Self::until_deadline(request, attempts)
+            can_end_early: outlook.can_retry,
+            ..Self::until_deadline(gateway, request)
         }
     }
 
@@ -163,8 +168,8 @@
         self.can_end_early
     }
 
-    fn until_deadline(request: &ClientRequest, attempts: &Attempts) -> Self {
-        let left = attempts.gateway.clock.until(request.deadline);
+    fn until_deadline(gateway: &Gateway, request: &ClientRequest) -> Self {
+        let left = gateway.clock.until(request.deadline);
         Self {
             probe_interval: left,
             accepting_limit: left,
--- a/crates/daemon/src/gateway/gossip/fetch.rs
+++ b/crates/daemon/src/gateway/gossip/fetch.rs
@@ -19,7 +19,7 @@
 use prost::Message;
 
 use crate::{
-    gateway::{Gateway, TableWatch, handover, upstream::Connection, watch},
+    gateway::{Gateway, TableWatch, handover, request, upstream::Connection, watch},
     http as server,
     telemetry::process_events,
 };
@@ -195,7 +195,7 @@
 pub async fn handle_call(gateway: Rc<Gateway>, request: ServerRequest) -> ServerResponse<BoxBody> {
     let stored = gateway.stored_configuration.borrow().clone();
     match request.path() {
-        handover::PATH => handover::handle(gateway, request).await,
+        handover::PATH => request::handle_peer(gateway, request).await,
         CONFIGURATION_PATH if !stored.is_empty() => server::json(200, stored),
         TARGETS_PATH if gateway.target_list_loaded.get() => {
             let since = request.uri().query().and_then(|query| query.parse().ok());
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -31,7 +31,7 @@
 use prost::Message;
 
 use crate::{
-    gateway::{Gateway, paths, refused_parts, target_limits},
+    gateway::{Gateway, attempt::paths, refused_parts, target_limits},
     telemetry::process_events,
 };
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -2,32 +2,33 @@
 Gateway for the users' platform: routes client requests by host and path to the
 targets of a service.
 
-- [`requests`](handle): handling of a client request from arrival to response;
-- `exchange`: one attempt at one target;
-- `relay`: forwarding of an event stream, resumed on another engine if it breaks;
+A request passes through four folders, each of which uses only those below it:
+
+- [`request`](handle): from arrival to response, with admission, the long-prompt queue,
+  retries and streams that are resumed on another engine;
+- `handover`: an attempt that a peer makes, or that is made for a peer;
+- `attempt`: one attempt at one target, the paths to the targets, and the guards that count
+  requests;
+- `response`: heads and errors that clients are told.
+
+Beside them:
+
 - `watch`: the configuration and the target list, from the platform's store or from
   peers that watch it;
 - `gossip`: exchange of loads, crashes and versions between instances;
-- `handover`: requests handed over to peers, and those of peers;
-- `paths`: connections to targets, and whether this instance or only its peers reach them;
 - `target_limits`: the limits that targets name in their responses;
 - `refused_parts`: parts of prompts that crash engines, in the platform's store;
 - `upstream`, `store`: outgoing connections and the store client.
 */
 
-mod attempts;
-mod exchange;
+mod attempt;
 mod gauges;
 mod gossip;
 mod handover;
-mod paths;
 mod peer_keys;
 mod refused_parts;
-mod relay;
-mod requests;
-mod reservations;
-mod response_timeouts;
-mod responses;
+mod request;
+mod response;
 mod run;
 mod store;
 mod target_limits;
@@ -64,7 +65,7 @@
 use cyclamengauge_platform::{configuration, settings, store::StoreEra};
 use tokio::sync::Notify;
 
-pub use requests::handle;
+pub use request::handle;
 pub use run::{Listeners, run, shut_down, start};
 
 use crate::{
@@ -77,6 +78,10 @@
 /// configurations, after which this instance may have missed a change.
 const STALE_CONFIGURATION_MARGIN: Duration = Duration::from_millis(2_500);
 
+/// Share of the time from SIGTERM to SIGKILL in which the instance still accepts
+/// requests on open connections. The rest is for their responses.
+const ACCEPTING_SHUTDOWN_SHARE: f64 = 0.3;
+
 /// Age up to which peers report events. The clock must be able to express their times,
 /// also if they are before the start of this process.
 const REPORTED_PAST: Duration = Duration::from_secs(3_600);
@@ -297,7 +302,7 @@
     }
 
     /// Counts a client request for the retry budget and the stream rate.
-    fn record_request(&self, request: &exchange::ClientRequest) {
+    fn record_request(&self, request: &attempt::ClientRequest) {
         let now = self.clock.now();
         if request.stream.is_some() {
             let rate = self.stream_rate.get().decayed_to(now).with_event();
@@ -394,6 +399,14 @@
         has_room && self.peer_keys.is_loaded() && self.is_ready()
     }
 
+    /// Whether too little of the shutdown grace period is left to accept a request.
+    fn refuses_requests(&self, now: Instant) -> bool {
+        let grace = self.settings.borrow().bounds.shutdown_grace;
+        let shutdown_started_at = self.shutdown_started_at.get();
+        shutdown_started_at
+            .is_some_and(|since| now - since > grace.mul_f64(ACCEPTING_SHUTDOWN_SHARE))
+    }
+
     fn is_shutting_down(&self) -> bool {
         self.shutdown_started_at.get().is_some()
     }
--- a/crates/daemon/src/gateway/attempts.rs
+++ b/crates/daemon/src/gateway/request/attempts.rs
@@ -1,15 +1,12 @@
-//! The attempts of one request: queueing, placement, retries and the final error.
+//! The attempts of one request: the choice of who makes them, retries and the final error.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use cyclamengauge_core::{
     clock::Instant,
     ids::{EngineId, InstanceId},
     serving::{
-        peers,
-        placement::{self, EngineCount, Placement, PlacementError, PlacementRequest},
-        queue::{self, EntryId, Patience},
         reachability::{Path, PeerChoice},
         targets::Targets,
     },
@@ -19,15 +16,12 @@
 use crate::{
     gateway::{
         Gateway,
-        exchange::{self, AttemptError, ClientRequest, Exchange},
-        handover::{self, Failure, Origin, Resumed, TakenOverGuard},
-        paths,
-        response_timeouts::{ResponseTimeouts, client_timeout},
-        responses::GatewayError,
+        attempt::{self, AttemptError, ClientRequest, Exchange, Outlook, ResponseTimeouts, paths},
+        handover::{self, Failure, Origin, Resumed},
+        response::GatewayError,
         target_limits,
     },
-    http::BusyGuard,
-    telemetry::trace::{self, PlacementDetails, RequestEnd, TraceEvent},
+    telemetry::trace::{self, RequestEnd, TraceEvent},
 };
 
 /// Largest number of attempts of a request that fail before the request is sent.
@@ -37,12 +31,6 @@
 /// Shortest remaining time until the deadline for another attempt.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(30);
 
-/// Time between two checks of a queued prompt if no load changes.
-const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(15);
-
-/// Shortest retry delay for a long prompt that the queue refused.
-const MIN_OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Shortest retry delay for a request that found no free slot: about the time in
 /// which a client opens a new connection.
 const MIN_BUSY_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -57,83 +45,6 @@
 /// request of its service.
 const DEFAULT_BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Counts a request as in progress, and marks the client's connection as busy, until
-/// dropped.
-pub struct InProgressGuard {
-    gateway: Rc<Gateway>,
-    _busy: BusyGuard,
-    /// For a request of a peer.
-    _taken_over: Option<TakenOverGuard>,
-}
-
-impl InProgressGuard {
-    /// Counts a request on the connection from `client`.
-    pub fn new(gateway: &Rc<Gateway>, client: Option<SocketAddr>) -> Self {
-        gateway
-            .requests_in_progress
-            .set(gateway.requests_in_progress.get() + 1);
-        Self {
-            gateway: Rc::clone(gateway),
-            _busy: gateway.connections.mark_busy(client),
-            _taken_over: None,
-        }
-    }
-
-    /// Counts a request of a peer.
-    pub fn for_peer(gateway: &Rc<Gateway>, taken_over: TakenOverGuard) -> Self {
-        let mut guard = Self::new(gateway, None);
-        guard._taken_over = Some(taken_over);
-        guard
-    }
-}
-
-impl Drop for InProgressGuard {
-    fn drop(&mut self) {
-        let count = &self.gateway.requests_in_progress;
-        count.set(count.get().saturating_sub(1));
-    }
-}
-
-/// Entry in the long-prompt queue, removed on drop.
-struct QueueEntry {
-    gateway: Rc<Gateway>,
-    id: EntryId,
-}
-
-impl QueueEntry {
-    fn enqueue(gateway: &Rc<Gateway>, request: &ClientRequest, prefill_time: Duration) -> Self {
-        let objective_at = request.arrived_at + request.route.objective;
-        let id = gateway
-            .queue
-            .borrow_mut()
-            .enqueue(objective_at, prefill_time);
-        gateway.report_placement();
-        Self {
-            gateway: Rc::clone(gateway),
-            id,
-        }
-    }
-
-    fn is_next(&self, engines: EngineCount) -> bool {
-        let now = self.gateway.clock.now();
-        let queue = self.gateway.queue.borrow();
-        queue.is_next(self.id, engines.usable, now)
-    }
-
-    fn expected_wait(&self, engines: EngineCount) -> Duration {
-        let now = self.gateway.clock.now();
-        let queue = self.gateway.queue.borrow();
-        queue.expected_wait(self.id, engines.usable, engines.available, now)
-    }
-}
-
-impl Drop for QueueEntry {
-    fn drop(&mut self) {
-        self.gateway.queue.borrow_mut().remove(self.id);
-        self.gateway.report_placement();
-    }
-}
-
 /// Final failure of a request.
 #[derive(Debug)]
 pub enum RequestError {
@@ -148,44 +59,45 @@
     /// State of the daemon.
     pub gateway: Rc<Gateway>,
     /// Estimated time to the first event in the latest attempt.
-    pub estimate: Duration,
+    estimate: Duration,
     /// Whether the latest placement classifies the prompt as long.
-    pub is_long: bool,
+    is_long: bool,
     /// Time from the arrival to the first event of a stream.
     time_to_first_event: Option<Duration>,
     /// Time of the latest event.
-    last_event_at: Option<Instant>,
+    pub last_event_at: Option<Instant>,
     /// Longest interval between two events.
     longest_gap: Option<Duration>,
     /// Targets of failed attempts, which get no further attempt.
-    excluded: Vec<EngineId>,
+    pub excluded: Vec<EngineId>,
     /// Peers that could not be handed the request, which get no further attempt.
     tried_peers: Vec<InstanceId>,
-    /// Whether a peer has handed the request over.
-    is_taken_over: bool,
-    /// Whether the peer that has handed the request over may make another attempt.
-    peer_may_retry: bool,
-    sent_attempts: u32,
+    /// Where the request comes from if a peer has handed it over.
+    origin: Option<Rc<Origin>>,
+    /// Attempts that were sent to a target.
+    pub sent_attempts: u32,
     unsent_attempts: u32,
-    may_have_executed: bool,
+    /// Whether a target may have executed the request.
+    pub may_have_executed: bool,
     /// Latest error response of a target.
     error_response: Option<Box<Response<Bytes>>>,
 }
 
 impl Attempts {
     /// Creates the state of a request before its first attempt here.
-    pub fn new(gateway: &Rc<Gateway>, origin: Option<&Origin>) -> Self {
+    pub fn new(gateway: &Rc<Gateway>, origin: Option<Rc<Origin>>) -> Self {
         Self {
             gateway: Rc::clone(gateway),
             estimate: Duration::ZERO,
             is_long: false,
             time_to_first_event: None,
-            last_event_at: origin.and_then(|origin| origin.last_event_at),
+            last_event_at: origin.as_ref().and_then(|origin| origin.last_event_at),
             longest_gap: None,
-            excluded: origin.map_or_else(Vec::new, |origin| origin.excluded.clone()),
+            excluded: origin
+                .as_ref()
+                .map_or_else(Vec::new, |origin| origin.excluded.clone()),
             tried_peers: Vec::new(),
-            is_taken_over: origin.is_some(),
-            peer_may_retry: origin.is_some_and(|origin| origin.may_retry),
+            origin,
             sent_attempts: 0,
             unsent_attempts: 0,
             may_have_executed: false,
@@ -197,7 +109,16 @@
     /// have executed the request.
     pub fn can_retry(&self, request: &ClientRequest) -> bool {
         request.route.kind.is_repeatable()
-            && (self.sent_attempts < request.route.max_attempts || self.peer_may_retry)
+            && (self.sent_attempts < request.route.max_attempts || self.may_peer_retry())
+    }
+
+    /// What is known of the current attempt for its time limits.
+    pub fn outlook(&self, request: &ClientRequest) -> Outlook {
+        Outlook {
+            estimate: self.estimate,
+            is_long: self.is_long,
+            can_retry: self.can_retry(request),
+        }
     }
 
     /// Sends the request to one target after another until a response head arrives.
@@ -230,8 +151,8 @@
             self.sent_attempts += 1;
             let timeouts = self.response_timeouts(request);
             let gateway = Rc::clone(&self.gateway);
-            let sent = exchange::send(&gateway, request, &placement, last_event_id, timeouts).await;
-            if let Some(origin) = &request.origin {
+            let sent = attempt::send(&gateway, request, &placement, last_event_id, timeouts).await;
+            if let Some(origin) = &self.origin {
                 let was_sent = sent.as_ref().err().is_none_or(AttemptError::was_sent);
                 origin.was_sent.set(was_sent);
                 origin.target.replace(Some(placement.target.clone()));
@@ -275,7 +196,7 @@
                     paths::wait_for_decision(gateway, service, deadline).await;
                     has_waited = true;
                 }
-                Path::Peer(peer) if !self.is_taken_over => return Ok(Some(peer)),
+                Path::Peer(peer) if self.origin.is_none() => return Ok(Some(peer)),
                 // A request is handed over once.
                 Path::Peer(_) | Path::Closed => return Err(self.unreachable_error(request)),
             }
@@ -289,7 +210,7 @@
         last_event_id: Option<&HeaderValue>,
     ) -> Result<Exchange, Failure> {
         self.sent_attempts += 1;
-        let timeouts = ResponseTimeouts::for_peer(request, self);
+        let timeouts = ResponseTimeouts::for_peer(&self.gateway, request, self.outlook(request));
         let gateway = Rc::clone(&self.gateway);
         let resumed = last_event_id.map(|after| Resumed {
             after,
@@ -394,7 +315,7 @@
         crashes.record_completion(&request.fingerprint);
         let prompt = request.stream.as_ref().map(|stream| stream.prompt.get());
         let class = trace::request_class(prompt);
-        if self.is_taken_over {
+        if self.origin.is_some() {
             // The peer that the client called counts it.
             self.end(request, "served", None);
             return;
@@ -442,6 +363,11 @@
         });
     }
 
+    /// Whether the peer that has handed the request over may make another attempt.
+    fn may_peer_retry(&self) -> bool {
+        self.origin.as_ref().is_some_and(|origin| origin.may_retry)
+    }
+
     /// Number of attempts, sent or not.
     fn attempt_count(&self) -> u32 {
         self.sent_attempts + self.unsent_attempts
@@ -462,132 +388,13 @@
         RequestError::Gateway(GatewayError::TargetsAtLimit(delay))
     }
 
-    /// Places the request. A long prompt waits in the queue first, unless its placement
-    /// may skip the queue.
-    async fn place_or_queue(&mut self, request: &ClientRequest) -> Result<Placement, RequestError> {
-        let prefill_time = self
-            .prefill_time(request)
-            .filter(|time| *time >= queue::MIN_QUEUED_PREFILL_TIME);
-        let Some(prefill_time) = prefill_time else {
-            return self.place(request);
-        };
-        if let Ok(placement) = self.place(request)
-            && placement.can_skip_queue
-        {
-            return Ok(placement);
-        }
-        let queued_at = self.gateway.clock.now();
-        let patience = self.queue_patience(request);
-        let entry = QueueEntry::enqueue(&self.gateway, request, prefill_time);
-        request.trace.add(TraceEvent::Queued {
-            expected_wait: entry.expected_wait(self.count_engines(request)),
-            max_wait: patience.left(queued_at),
-            peers: self.gateway.instance_count() - 1,
-        });
-        loop {
-            if self.gateway.has_refused_part(&request.shared_parts) {
-                return Err(self.refused_part_error(request));
-            }
-            let engines = self.count_engines(request);
-            let wait = entry.expected_wait(engines);
-            if patience.is_exhausted(wait, self.gateway.clock.now()) {
-                return Err(self.overloaded_error(request, wait));
-            }
-            if entry.is_next(engines) {
-                match self.place(request) {
-                    Ok(placement) if placement.wait <= queue::MAX_DISPATCH_BACKLOG => {
-                        let waited = self.gateway.clock.now() - queued_at;
-                        metrics::histogram!("cyclamengauge_queue_seconds").record(waited);
-                        return Ok(placement);
-                    }
-                    // Stays queued until other requests free memory or the backlog shrinks.
-                    Ok(_) | Err(RequestError::Gateway(GatewayError::TargetsBusy(_))) => {}
-                    Err(RequestError::Gateway(GatewayError::TargetsAtLimit(wait)))
-                        if !patience.is_exhausted(wait, self.gateway.clock.now()) => {}
-                    Err(error) => return Err(error),
-                }
-            }
-            let changed = self.gateway.load_changed.notified();
-            let _ = actix_rt::time::timeout(QUEUE_POLL_INTERVAL, changed).await;
-        }
-    }
-
-    fn count_engines(&self, request: &ClientRequest) -> EngineCount {
-        let now = self.gateway.clock.now();
-        let targets = self.gateway.targets.borrow();
-        let gap = request.stream.as_ref().map_or(Duration::ZERO, |s| s.gap);
-        placement::count_engines(&targets, &request.service, gap, now)
-    }
-
-    /// How long the request may stay in the queue.
-    fn queue_patience(&self, request: &ClientRequest) -> Patience {
-        let (client_timeout, deadline) = (client_timeout(request), request.deadline);
-        match self.last_event_at {
-            Some(at) => Patience::of_stream_under_way(at, client_timeout, deadline),
-            None => {
-                let now = self.gateway.clock.now();
-                Patience::of_new(request.arrived_at, client_timeout, deadline, now)
-            }
-        }
-    }
-
-    fn overloaded_error(&self, request: &ClientRequest, wait: Duration) -> RequestError {
-        if self.sent_attempts > 0 {
-            return self.final_error(request);
-        }
-        RequestError::Gateway(GatewayError::Overloaded(
-            wait.max(MIN_OVERLOADED_RETRY_AFTER),
-        ))
-    }
-
-    /// Prefill time of the prompt on one idle engine; none without a stream or an
-    /// engine model.
-    fn prefill_time(&self, request: &ClientRequest) -> Option<Duration> {
-        let stream = request.stream.as_ref()?;
-        let table = self.gateway.route_table()?;
-        let model = table.service(&request.service)?.engine.as_ref()?;
-        Some(model.prefill_time(stream.prompt))
-    }
-
-    fn place(&mut self, request: &ClientRequest) -> Result<Placement, RequestError> {
-        let placement_request = PlacementRequest {
-            service: request.service.clone(),
-            data_centre: self.gateway.settings.borrow().data_centre.clone(),
-            stream: request.stream.clone(),
-            instances: self.gateway.instance_count(),
-            unreported_streams: self.gateway.unreported_streams(),
-            excluded: self.excluded.clone(),
-        };
-        let table = self.gateway.route_table();
-        let service = table.as_ref().and_then(|t| t.service(&request.service));
-        let model = service.and_then(|service| service.engine.as_ref());
-        let now = self.gateway.clock.now();
-        let targets = self.gateway.targets.borrow();
-        let mut rng = self.gateway.rng.borrow_mut();
-        let placed = placement::choose(&targets, &placement_request, model, &mut rng, now);
-        placed.map_err(|error| {
-            if let PlacementError::AtLimit(wait) = error
-                && !self.may_have_executed
-            {
-                return RequestError::Gateway(GatewayError::TargetsAtLimit(wait));
-            }
-            if self.may_have_executed || self.sent_attempts > 0 {
-                return self.final_error_for(request, &targets);
-            }
-            RequestError::Gateway(match error {
-                PlacementError::NoTarget => GatewayError::NoTarget,
-                PlacementError::AtLimit(wait) => GatewayError::TargetsAtLimit(wait),
-                PlacementError::TooLong => GatewayError::PromptTooLong,
-                PlacementError::NoMemory => self.busy_error(request, &targets),
-            })
-        })
-    }
-
-    fn final_error(&self, request: &ClientRequest) -> RequestError {
+    /// Builds the final error after the latest attempt.
+    pub fn final_error(&self, request: &ClientRequest) -> RequestError {
         self.final_error_for(request, &self.gateway.targets.borrow())
     }
 
-    fn final_error_for(&self, request: &ClientRequest, targets: &Targets) -> RequestError {
+    /// As [`Self::final_error`], while the targets are borrowed.
+    pub fn final_error_for(&self, request: &ClientRequest, targets: &Targets) -> RequestError {
         if let Some(response) = &self.error_response {
             return RequestError::TargetResponse(response.clone());
         }
@@ -599,14 +406,16 @@
         })
     }
 
-    fn refused_part_error(&self, request: &ClientRequest) -> RequestError {
+    /// Builds the final error of a prompt with a part that crashes engines.
+    pub fn refused_part_error(&self, request: &ClientRequest) -> RequestError {
         match self.may_have_executed {
             true => self.final_error(request),
             false => RequestError::Gateway(GatewayError::PartCrashesEngines),
         }
     }
 
-    fn busy_error(&self, request: &ClientRequest, targets: &Targets) -> GatewayError {
+    /// Builds the error of a request that finds no room.
+    pub fn busy_error(&self, request: &ClientRequest, targets: &Targets) -> GatewayError {
         let slot_wait = targets.expected_slot_wait(&request.service);
         GatewayError::TargetsBusy(
             slot_wait
@@ -624,47 +433,10 @@
 
     /// Time limits for the response head. Engines send the head with the first event.
     fn response_timeouts(&self, request: &ClientRequest) -> ResponseTimeouts {
+        let (gateway, outlook) = (&self.gateway, self.outlook(request));
         match request.stream {
-            Some(_) => ResponseTimeouts::for_first_event(request, self),
-            None => ResponseTimeouts::for_plain(request, self),
-        }
-    }
-
-    fn trace_placement(&self, request: &ClientRequest, placement: &Placement) {
-        let now = self.gateway.clock.now();
-        let targets = self.gateway.targets.borrow();
-        let load = targets.load(&placement.target, now);
-        let target = targets.get(&placement.target);
-        let peers = self.gateway.instance_count() - 1;
-        let at_limit = targets
-            .at_limit(&request.service, &self.excluded, now)
-            .len() as u64;
-        if at_limit > 0 {
-            let service = request.service.to_string();
-            metrics::counter!("cyclamengauge_limit_diversions_total", "service" => service)
-                .increment(1);
+            Some(_) => ResponseTimeouts::for_first_event(gateway, request, outlook),
+            None => ResponseTimeouts::for_plain(gateway, request, outlook),
         }
-        request
-            .trace
-            .add(TraceEvent::Placed(Box::new(PlacementDetails {
-                target: placement.target.clone(),
-                helpers: placement.helpers.len() as u64,
-                estimate: placement.estimate,
-                wait: placement.wait,
-                target_requests: load.requests,
-                target_failure_rate: target.map_or(0.0, |target| target.failure_rate(now)),
-                runners_up: runners_up(placement),
-                excluded: self.excluded.len() as u64,
-                at_limit,
-                list_age: self.gateway.target_list_age(),
-                peers,
-                peer_load_age: peers::expected_gossip_age(peers),
-            })));
     }
 }
-
-fn runners_up(placement: &Placement) -> String {
-    let others = placement.runners_up.iter();
-    let others = others.map(|other| format!("{} +{:.2}", other.target, other.excess_cost));
-    others.collect::<Vec<_>>().join(", ")
-}
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -9,7 +9,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
-    gateway::{self, Gateway, gauges, gossip, paths, peer_keys, refused_parts, watch},
+    gateway::{self, Gateway, attempt::paths, gauges, gossip, peer_keys, refused_parts, watch},
     http, node,
     telemetry::{self, process_events},
 };
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -12,7 +12,7 @@
     serving::{
         reachability::{PathChange, PathState},
         store_calls::Outage,
-        targets::TargetFacts,
+        targets::{Outcome, TargetFacts},
         watchers::WatchState,
     },
     units::RequestsPerSecond,
@@ -365,3 +365,10 @@
 pub(super) fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
+
+/// Logs that an outcome excludes a target, if it does.
+pub fn log_exclusion(target: &EngineId, outcome: Outcome, exclusion: Option<Duration>) {
+    if let Some(exclusion) = exclusion {
+        log_target_suspect(target, outcome.name(), exclusion);
+    }
+}
