core: no cut is concluded from targets that crash together

Change: a cut is confirmed by nine failed targets (two rounds of probes) or all of the service, in every data centre in which it has targets, and not within 30 ms of the latest round. A round covers the data centres alike, the second one follows 30 ms after the first, and a connection that opens moves the start of the doubt behind the failures that it refutes.

--- a/crates/core/src/serving/reachability/mod.rs
+++ b/crates/core/src/serving/reachability/mod.rs
@@ -28,9 +28,17 @@
 use peers::PeerPaths;
 pub use peers::{PathReport, PeerChoice, PeerReport};
 
+/// Number of probes in the first round.
+const FIRST_ROUND_PROBES: usize = 3;
+
 /// Number of targets that must fail before an instance counts as cut off, or all targets
-/// of a service with fewer.
-pub const MIN_FAILED_TARGETS: usize = 3;
+/// of a service with fewer: those of two rounds of probes. If a third of the targets is
+/// down, fewer may all be among these.
+const MIN_CUT_TARGETS: usize = 3 * FIRST_ROUND_PROBES;
+
+/// Time from a round of probes, made after the first failure, until an instance may count
+/// as cut off: targets nearby refuse sooner than sound ones further away accept.
+const MIN_FAILING_TIME: Duration = Duration::from_millis(30);
 
 /// Number of targets that must answer before a service counts as reached again, or all
 /// targets of a service with fewer.
@@ -192,6 +200,7 @@
             PathState::Doubtful | PathState::Unreachable => {
                 path.failed.retain(|_, failed_at| *failed_at > started_at);
                 if !path.failed.is_empty() {
+                    path.first_failed_at = path.failed.values().min().copied();
                     return None;
                 }
             }
@@ -400,8 +409,8 @@
         });
         let others: Vec<_> = others.collect();
         // An even sample of the ids, which says more than neighbours in one data centre.
-        let step = (others.len() / MIN_FAILED_TARGETS).max(1);
-        let sample = others.iter().step_by(step).take(MIN_FAILED_TARGETS);
+        let step = (others.len() / FIRST_ROUND_PROBES).max(1);
+        let sample = others.iter().step_by(step).take(FIRST_ROUND_PROBES);
         sample.map(|other| Probe::of(&other.facts)).collect()
     }
 
@@ -413,17 +422,24 @@
     ) -> Option<PathChange> {
         let path = self.services.get_mut(service)?;
         let first_failed_at = path.first_failed_at?;
-        let listed: BTreeSet<&EngineId> = targets
+        let listed: BTreeMap<&EngineId, &DataCentreId> = targets
             .listed(service, now)
-            .map(|target| &target.facts.id)
+            .map(|target| (&target.facts.id, &target.facts.data_centre))
             .collect();
         if listed.is_empty() {
             return path.enter(service, PathState::Open, now);
         }
-        path.failed.retain(|target, _| listed.contains(target));
+        path.failed.retain(|target, _| listed.contains_key(target));
         path.all_failed = path.failed.len() >= listed.len();
-        let required = MIN_FAILED_TARGETS.min(listed.len());
-        let is_confirmed = path.failed.len() >= required && !path.failed.is_empty();
+        let required = MIN_CUT_TARGETS.min(listed.len());
+        let data_centres: BTreeSet<&DataCentreId> = listed.values().copied().collect();
+        let failed = path.failed.keys().filter_map(|target| listed.get(target));
+        let failed: BTreeSet<&DataCentreId> = failed.copied().collect();
+        let probed_at = path.probed_at.filter(|at| *at >= first_failed_at);
+        // Targets that crash together, such as those of a data centre, are no cut.
+        let is_confirmed = path.failed.len() >= required
+            && failed.len() == data_centres.len()
+            && probed_at.is_some_and(|at| now - at >= MIN_FAILING_TIME);
         let is_reached_by_peer = self.peers.has_connected_since(service, first_failed_at);
         let state = match path.state {
             PathState::Open | PathState::CutOff => path.state,
@@ -522,18 +538,31 @@
             PathState::Open => 1,
             // All targets are covered within a few rounds, however many there are.
             PathState::Doubtful => {
-                (MIN_FAILED_TARGETS << self.probe_rounds.min(3)).min(MAX_ROUND_PROBES)
+                (FIRST_ROUND_PROBES << self.probe_rounds.min(3)).min(MAX_ROUND_PROBES)
             }
-            PathState::CutOff | PathState::Unreachable => MIN_FAILED_TARGETS,
+            PathState::CutOff | PathState::Unreachable => FIRST_ROUND_PROBES,
         };
         self.probed_at = Some(now);
         self.probe_rounds += 1;
-        self.next_probes_at = (self.state != PathState::Open).then_some(now + PROBE_INTERVAL);
+        self.next_probes_at = match (self.state, self.probe_rounds) {
+            (PathState::Open, _) => None,
+            (PathState::Doubtful, 1) => Some(now + MIN_FAILING_TIME),
+            _ => Some(now + PROBE_INTERVAL),
+        };
         let mut order = listed.to_vec();
         let first = order.partition_point(|facts| Some(&facts.id) <= self.last_probed.as_ref());
         order.rotate_left(first);
-        // Targets that have not failed yet decide a doubt.
-        order.sort_by_key(|facts| self.failed.contains_key(&facts.id));
+        // Targets that have not failed yet decide a doubt, those of all data centres alike.
+        let mut counts: BTreeMap<&DataCentreId, usize> = BTreeMap::new();
+        let ranks = order.iter().map(|facts| {
+            let count = counts.entry(&facts.data_centre).or_default();
+            *count += 1;
+            *count
+        });
+        let ranks: Vec<usize> = ranks.collect();
+        let mut ranked: Vec<(usize, &TargetFacts)> = ranks.into_iter().zip(order).collect();
+        ranked.sort_by_key(|(rank, facts)| (self.failed.contains_key(&facts.id), *rank));
+        let mut order: Vec<&TargetFacts> = ranked.into_iter().map(|(_, facts)| facts).collect();
         order.truncate(size);
         self.last_probed = order.last().map(|facts| facts.id.clone());
         let probes = order.into_iter().map(|facts| Probe {
--- a/crates/core/tests/serving/reachability.rs
+++ b/crates/core/tests/serving/reachability.rs
@@ -48,6 +48,8 @@
     rng: fastrand::Rng,
     /// Whether connections from an instance to a target open, by time in ms.
     link: Box<dyn Fn(usize, usize, u64) -> Link>,
+    /// Time that a connection takes to open.
+    opens_in_ms: u64,
     takes_requests: Vec<bool>,
 }
 
@@ -76,6 +78,7 @@
             now_ms: 0,
             rng: fastrand::Rng::with_seed(7),
             link: Box::new(link),
+            opens_in_ms: STEP_MS,
             takes_requests: vec![true; instances],
         }
     }
@@ -92,7 +95,7 @@
     fn connect(&mut self, node: usize, target: &EngineId) {
         let engine = (0..).find(|number| &id(*number) == target).unwrap();
         let (ends_in_ms, opens) = match (self.link)(node, engine, self.now_ms) {
-            Link::Opens => (STEP_MS, true),
+            Link::Opens => (self.opens_in_ms, true),
             Link::Refuses => (STEP_MS, false),
             Link::Hangs => (CONNECT_TIMEOUT_MS, false),
         };
@@ -287,6 +290,38 @@
     assert!(fleet.nodes[0].handed_over_to.is_empty());
 }
 
+/// Guards against targets of a data centre, or a third of all, that crash together and are
+/// taken for a cut: many streams break at once, and those that are sent again are refused
+/// nearby before a target further away can accept.
+#[test]
+fn targets_that_crash_together_are_no_cut() {
+    let data_centre = |engine: usize| engine.is_multiple_of(3);
+    let first_third = |engine: usize| engine < 6;
+    for is_down in [data_centre, first_third] {
+        let down =
+            move |_: usize, engine: usize, now_ms: u64| match now_ms >= 2_000 && is_down(engine) {
+                true => Link::Refuses,
+                false => Link::Opens,
+            };
+        let mut fleet = Fleet::new(4, 18, down);
+        fleet.opens_in_ms = 2 * STEP_MS;
+        fleet.run_until(2_000, 50);
+        for node in 0..4 {
+            for engine in (0..18).filter(|engine| is_down(*engine)) {
+                fleet.connect(node, &id(engine));
+            }
+        }
+        while fleet.now_ms < 6_000 {
+            fleet.run_until(fleet.now_ms + STEP_MS, 20);
+            for node in 0..4 {
+                let state = fleet.state(node);
+                let is_cut = matches!(state, PathState::CutOff | PathState::Unreachable);
+                assert!(!is_cut, "{state:?} at {} ms", fleet.now_ms);
+            }
+        }
+    }
+}
+
 /// Guards against requests that wait or travel although no instance reaches a target, and
 /// against instances that are slow to notice that one is back.
 #[test]
