Keep making attempts directly while some targets accept connections

Cause: while a data centre's targets refuse connections, the path to the service is doubtful again and again, and each request whose first attempt had failed waited up to 320 ms for the decision; with four unsent attempts it was refused, although two thirds of the targets were sound.

Change: an attempt goes direct if a connection has opened within 60 ms; a request may make twelve attempts that are not sent.

--- a/crates/core/src/serving/reachability/mod.rs
+++ b/crates/core/src/serving/reachability/mod.rs
@@ -57,6 +57,10 @@
 /// a probe.
 const FRESH_CONNECTION_AGE: Duration = Duration::from_millis(300);
 
+/// Age up to which a connection shows that another attempt is worth while, although others
+/// failed since: about the time in which a round of probes is answered.
+const RECENT_CONNECTION_AGE: Duration = Duration::from_millis(60);
+
 /// Time after the first failure within which bytes on an open connection may have been
 /// sent before the cut.
 const TRANSIT_TIME: Duration = Duration::from_millis(100);
@@ -344,7 +348,7 @@
         };
         match path.state {
             PathState::Open => Path::Direct,
-            PathState::Doubtful if is_first => Path::Direct,
+            PathState::Doubtful if is_first || path.has_connected_lately(now) => Path::Direct,
             PathState::Doubtful => Path::Undecided,
             // A peer may not have noticed yet that it reaches no target either; it refuses
             // then, and reports it.
@@ -461,6 +465,11 @@
             .is_some_and(|at| now - at < FRESH_CONNECTION_AGE)
     }
 
+    fn has_connected_lately(&self, now: Instant) -> bool {
+        self.connected_at
+            .is_some_and(|at| now - at <= RECENT_CONNECTION_AGE)
+    }
+
     fn doubt(&mut self, started_at: Instant, now: Instant) {
         let first = self.first_failed_at.unwrap_or(started_at);
         self.first_failed_at = Some(first.min(started_at));
--- a/crates/core/tests/serving/reachability.rs
+++ b/crates/core/tests/serving/reachability.rs
@@ -311,14 +311,20 @@
                 fleet.connect(node, &id(engine));
             }
         }
+        let mut waiting = 0;
         while fleet.now_ms < 6_000 {
             fleet.run_until(fleet.now_ms + STEP_MS, 20);
             for node in 0..4 {
                 let state = fleet.state(node);
                 let is_cut = matches!(state, PathState::CutOff | PathState::Unreachable);
                 assert!(!is_cut, "{state:?} at {} ms", fleet.now_ms);
+                // Some probe has just been answered.
+                let is_due = fleet.now_ms >= 2_100 && fleet.now_ms.is_multiple_of(100);
+                waiting += u32::from(is_due && fleet.request(node, false) == Path::Undecided);
             }
         }
+        // Of 160 requests whose first attempt has failed.
+        assert!(waiting <= 8, "{waiting} requests wait for a decision");
     }
 }
 
--- a/crates/daemon/src/gateway/request/attempts.rs
+++ b/crates/daemon/src/gateway/request/attempts.rs
@@ -25,8 +25,9 @@
 };
 
 /// Largest number of attempts of a request that fail before the request is sent.
-/// These don't count against the route's limit on attempts.
-const MAX_UNSENT_ATTEMPTS: u32 = 4;
+/// These don't count against the route's limit on attempts. Enough to find a sound target
+/// while half of them refuse connections.
+const MAX_UNSENT_ATTEMPTS: u32 = 12;
 
 /// Shortest remaining time until the deadline for another attempt.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(30);
