memory: one budget for all that a process holds for clients and targets

The budget is half of the settings' `memory_mb` beyond 32 MB. The core decides who grows and who is ended when room is short: stalled client bodies, client bodies, responses that may be repeated; a request that may have run and can't be repeated is never ended. The daemon's `Gateway::hold_memory` carries it out. The settings' `limits` (memory_mb, max_fds, link_mbps, cpu_share) are decoded.

Nothing uses the budget yet.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -15,6 +15,7 @@
 - [`queue`] orders long prompts across instances;
 - [`rate`] measures event rates;
 - [`retry_budget`] limits the retries of all instances;
+- [`memory`] limits the memory that is held for clients and targets;
 - [`crashes`] counts the engine crashes per request content;
 - [`prompt_parts`] finds the parts of prompts that crash engines.
 */
@@ -23,6 +24,7 @@
 pub mod crashes;
 pub mod dissemination;
 pub mod handover;
+pub mod memory;
 pub mod peers;
 pub mod placement;
 pub mod prompt_parts;
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -5,6 +5,7 @@
 mod dissemination;
 mod fleet;
 mod loads;
+mod memory;
 mod peers;
 mod placement;
 mod prompt_parts;
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -65,6 +65,8 @@
     metrics::gauge!("cyclamengauge_refused_parts").set(refused_parts);
     metrics::gauge!("cyclamengauge_requests_in_progress")
         .set(gateway.requests_in_progress.get() as f64);
+    metrics::gauge!("cyclamengauge_memory_held_bytes").set(gateway.memory.held_bytes() as f64);
+    metrics::gauge!("cyclamengauge_memory_limit_bytes").set(gateway.memory.capacity_bytes() as f64);
     let version = gateway.configuration_version() as f64;
     metrics::gauge!("cyclamengauge_configuration_version").set(version);
     let configuration_age = now - gateway.configuration_applied_at.get();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 - `gossip`: exchange of loads, crashes and versions between instances;
 - `target_limits`: the limits that targets name in their responses;
 - `refused_parts`: parts of prompts that crash engines, in the platform's store;
+- `memory`: the memory that is held for clients and targets;
 - `upstream`, `store`: outgoing connections and the store client.
 */
 
@@ -25,6 +26,7 @@
 mod gauges;
 mod gossip;
 mod handover;
+pub mod memory;
 mod peer_keys;
 mod refused_parts;
 mod request;
@@ -173,6 +175,8 @@
     shutdown_started_at: Cell<Option<Instant>>,
     /// Client connections.
     connections: Connections,
+    /// Memory that is held for clients and targets.
+    pub memory: memory::Memory,
     /// Client requests in progress.
     requests_in_progress: Cell<usize>,
     /// Log of client requests and placements.
@@ -230,6 +234,7 @@
             gossip_scheduled: Notify::new(),
             shutdown_started_at: Cell::new(None),
             connections: Connections::default(),
+            memory: memory::Memory::new(settings.limits.memory_mb),
             requests_in_progress: Cell::new(0),
             settings: RefCell::new(settings),
         }
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -10,6 +10,7 @@
     clock::Instant,
     ids::{EngineId, InstanceId, PromptPartId},
     serving::{
+        memory::MemoryError,
         reachability::{PathChange, PathState},
         store_calls::Outage,
         targets::{Outcome, TargetFacts},
@@ -372,3 +373,24 @@
         log_target_suspect(target, outcome.name(), exclusion);
     }
 }
+
+/// Logs that the memory for clients and targets is used up, and how many holders are ended
+/// to make room.
+pub fn log_memory_short(error: MemoryError, ended: u64) {
+    let (requested_bytes, held_bytes, limit_bytes) = match error {
+        MemoryError::Full {
+            requested_bytes,
+            held_bytes,
+            limit_bytes,
+        } => (Some(requested_bytes), held_bytes, Some(limit_bytes)),
+        MemoryError::Ended { held_bytes } => (None, held_bytes, None),
+    };
+    tracing::warn!(
+        event = "memory-short",
+        held_bytes,
+        limit_bytes,
+        requested_bytes,
+        ended,
+        "memory: {error}; {ended} bodies and responses give way"
+    );
+}
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -16,6 +16,7 @@
     events::{self, EventKind},
     ids::{AccountId, DataCentreId, EngineId, InstanceId, PromptPartId, ServiceId},
     serving::{
+        memory::MemoryError,
         reachability::{PathChange, PathState},
         store_calls::Outage,
         targets::TargetFacts,
@@ -272,6 +273,12 @@
         process_events::log_peer_faulty("b", &err);
         process_events::log_announce_failed(&err);
         process_events::log_reservation_failed("r1-0", &err);
+        let error = MemoryError::Full {
+            requested_bytes: 10,
+            held_bytes: 95,
+            limit_bytes: 100,
+        };
+        process_events::log_memory_short(error, 2);
         process_events::log_request_faulty("r1", &err);
     });
     assert_lines_match_catalogue(events::PROCESS_EVENTS, &lines);
