core: an instance that has just started sees a burst within a few requests

An instance expects as many unreported streams at its peers as it has seen itself within 400 ms, so after a start it expects none; all instances placed on the same engines, whose first events took 250 to 650 ms against estimates of 90 to 200 ms.

Change: for 1.5 s after its first request, an instance takes the rate of its arrivals from the last 30 ms, without the latest request; what that is above the mean counts sixfold.

The same at all times, not only after a start, made prompts late at the usual load of 5 instances (test usual_load), so it was not taken.

--- a/crates/core/tests/serving/loads.rs
+++ b/crates/core/tests/serving/loads.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     fleet::ENGINES,
-    simulation::{Deployment, Gossip, OnTimeCount, RequestKind, simulate},
+    simulation::{Deployment, Gossip, OnTimeCount, RequestKind, simulate, simulate_return},
 };
 
 const CURRENT_DEPLOYMENT: Deployment = Deployment {
@@ -167,3 +167,25 @@
     let kinds = request_kinds(1.8, 10.0, 22.0);
     assert_on_time(&simulate_seeds(&kinds, 4, 0..3), TARGET_SHARE);
 }
+
+/// Pattern: all instances have lost power, and the callers of a second return at the same
+/// moment. Guards against instances that place them on the same engines, as an instance
+/// that has seen no requests expects none at its peers.
+#[test]
+fn callers_that_return_together_meet_their_objectives() {
+    let deployment = Deployment {
+        instances: 37,
+        engines: 69,
+        slots: 12,
+        gossip: Gossip::Scheduled,
+    };
+    let kind = RequestKind {
+        per_s: 0.0,
+        tokens: 5_000,
+        events: 35,
+    };
+    for seed in 0..4 {
+        let count = simulate_return(deployment, kind, 150, 100, seed);
+        assert_on_time(&[count], TARGET_SHARE);
+    }
+}
--- a/crates/core/tests/serving/simulation.rs
+++ b/crates/core/tests/serving/simulation.rs
@@ -15,7 +15,7 @@
         peers,
         placement::{Placement, PlacementRequest, choose},
         queue::{self, EntryId, Queue, QueuedPrompt},
-        rate::Rate,
+        rate::ArrivalRate,
         targets::{InFlightId, LoadReport, Outcome, Targets},
     },
 };
@@ -93,7 +93,7 @@
 
 struct Simulation {
     deployment: Deployment,
-    rates: Vec<Rate>,
+    rates: Vec<ArrivalRate>,
     instances: Vec<(Targets, Queue)>,
     engines: Vec<Engine>,
     requests: Vec<Request>,
@@ -116,34 +116,13 @@
     first_event_limit: Duration,
     seed: u64,
 ) -> Vec<OnTimeCount> {
-    let Deployment {
-        instances, engines, ..
-    } = deployment;
-    let targets = targets_of(engines, deployment.slots);
-    let mut simulation = Simulation {
-        deployment,
-        rates: vec![Rate::default(); instances],
-        instances: (0..instances)
-            .map(|_| (targets.clone(), Queue::default()))
-            .collect(),
-        engines: (0..engines).map(|_| Engine::default()).collect(),
-        requests: Vec::new(),
-        rng: fastrand::Rng::with_seed(seed),
-        next_gossip_ms: (0..instances).map(|i| i as u64 * 5).collect(),
-        schedules: vec![Schedule::default(); instances],
-        sequences: vec![0; instances],
-        messages: VecDeque::new(),
-    };
+    let mut simulation = Simulation::new(deployment, seed);
     // The load ends 8 s before the simulation does, so that all requests can end.
     for now_ms in (0..seconds * 1_000 + 8_000).step_by(TICK_MS as usize) {
         if now_ms < seconds * 1_000 {
             simulation.generate_requests(kinds, now_ms);
         }
-        simulation.exchange_gossip(now_ms);
-        simulation.dispatch_queued(now_ms);
-        for engine in 0..engines {
-            simulation.advance_engine(engine, now_ms);
-        }
+        simulation.advance(now_ms);
     }
     kinds
         .iter()
@@ -151,45 +130,98 @@
         .collect()
 }
 
+/// Simulates `requests` of a kind that arrive evenly within `within_ms` at instances that
+/// have just started, and counts those that meet their objectives.
+pub fn simulate_return(
+    deployment: Deployment,
+    kind: RequestKind,
+    requests: u64,
+    within_ms: u64,
+    seed: u64,
+) -> OnTimeCount {
+    let mut simulation = Simulation::new(deployment, seed);
+    for now_ms in (0..within_ms + 8_000).step_by(TICK_MS as usize) {
+        let arrived = |at_ms: u64| requests * at_ms.min(within_ms) / within_ms;
+        for _ in arrived(now_ms)..arrived(now_ms + TICK_MS) {
+            simulation.add_request(kind, now_ms);
+        }
+        simulation.advance(now_ms);
+    }
+    simulation.on_time_count(&kind, Duration::ZERO)
+}
+
 impl Simulation {
+    fn new(deployment: Deployment, seed: u64) -> Self {
+        let Deployment {
+            instances, engines, ..
+        } = deployment;
+        let targets = targets_of(engines, deployment.slots);
+        Self {
+            deployment,
+            rates: vec![ArrivalRate::default(); instances],
+            instances: (0..instances)
+                .map(|_| (targets.clone(), Queue::default()))
+                .collect(),
+            engines: (0..engines).map(|_| Engine::default()).collect(),
+            requests: Vec::new(),
+            rng: fastrand::Rng::with_seed(seed),
+            next_gossip_ms: (0..instances).map(|i| i as u64 * 5).collect(),
+            schedules: vec![Schedule::default(); instances],
+            sequences: vec![0; instances],
+            messages: VecDeque::new(),
+        }
+    }
+
+    fn advance(&mut self, now_ms: u64) {
+        self.exchange_gossip(now_ms);
+        self.dispatch_queued(now_ms);
+        for engine in 0..self.engines.len() {
+            self.advance_engine(engine, now_ms);
+        }
+    }
+
     fn generate_requests(&mut self, kinds: &[RequestKind], now_ms: u64) {
         for kind in kinds {
             if self.rng.f64() >= kind.per_s * TICK_MS as f64 / 1e3 {
                 continue;
             }
-            let instance = self.rng.usize(..self.deployment.instances);
-            let rate = &mut self.rates[instance];
-            *rate = rate.decayed_to(ms(now_ms)).with_event();
-            // Prompt lengths vary here, and response lengths below.
-            let factor = 0.5 + self.rng.f64();
-            let tokens = (kind.tokens as f64 * factor) as u64;
-            let request = Request {
-                instance,
-                tokens,
-                arrived_ms: now_ms,
-                events_left: (f64::from(kind.events) * (0.3 + 1.4 * self.rng.f64())) as u32 + 1,
-                queue_entry: None,
-                in_flight_id: None,
-                parts_left: 0,
-                lead: 0,
-                first_event_ms: None,
-                last_event_ms: 0,
-                longest_gap_ms: 0,
-                done: false,
-            };
-            self.requests.push(request);
-            let number = self.requests.len() - 1;
-            let prefill_time = model().prefill_time(stream(tokens).prompt);
-            if prefill_time >= queue::MIN_QUEUED_PREFILL_TIME {
-                self.schedules[instance].record_placement(ms(now_ms));
-                let objective_at = ms(now_ms) + stream(tokens).objective;
-                let entry = self.instances[instance]
-                    .1
-                    .enqueue(objective_at, prefill_time);
-                self.requests[number].queue_entry = Some(entry);
-            } else {
-                self.place_and_dispatch(number, now_ms);
-            }
+            self.add_request(*kind, now_ms);
+        }
+    }
+
+    fn add_request(&mut self, kind: RequestKind, now_ms: u64) {
+        let instance = self.rng.usize(..self.deployment.instances);
+        let rate = &mut self.rates[instance];
+        rate.record(ms(now_ms));
+        // Prompt lengths vary here, and response lengths below.
+        let factor = 0.5 + self.rng.f64();
+        let tokens = (kind.tokens as f64 * factor) as u64;
+        let request = Request {
+            instance,
+            tokens,
+            arrived_ms: now_ms,
+            events_left: (f64::from(kind.events) * (0.3 + 1.4 * self.rng.f64())) as u32 + 1,
+            queue_entry: None,
+            in_flight_id: None,
+            parts_left: 0,
+            lead: 0,
+            first_event_ms: None,
+            last_event_ms: 0,
+            longest_gap_ms: 0,
+            done: false,
+        };
+        self.requests.push(request);
+        let number = self.requests.len() - 1;
+        let prefill_time = model().prefill_time(stream(tokens).prompt);
+        if prefill_time >= queue::MIN_QUEUED_PREFILL_TIME {
+            self.schedules[instance].record_placement(ms(now_ms));
+            let objective_at = ms(now_ms) + stream(tokens).objective;
+            let entry = self.instances[instance]
+                .1
+                .enqueue(objective_at, prefill_time);
+            self.requests[number].queue_entry = Some(entry);
+        } else {
+            self.place_and_dispatch(number, now_ms);
         }
     }
 
@@ -197,7 +229,7 @@
         let request = &self.requests[number];
         let targets = &self.instances[request.instance].0;
         let peers = self.deployment.instances as f64 - 1.0;
-        let rate = self.rates[request.instance].decayed_to(now).per_s();
+        let rate = self.rates[request.instance].per_s(now);
         let request = PlacementRequest {
             instances: self.deployment.instances as u32,
             unreported_streams: rate * peers * self.expected_gossip_age().as_secs_f64(),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -137,7 +137,7 @@
     /// Whether the target list was read in full since the start.
     target_list_loaded: Cell<bool>,
     /// Rate of client requests for streams at this instance.
-    stream_rate: Cell<rate::Rate>,
+    stream_rate: Cell<rate::ArrivalRate>,
     /// Long-prompt queue.
     queue: RefCell<Queue>,
     retry_budget: RefCell<RetryBudget>,
@@ -310,7 +310,8 @@
     fn record_request(&self, request: &attempt::ClientRequest) {
         let now = self.clock.now();
         if request.stream.is_some() {
-            let rate = self.stream_rate.get().decayed_to(now).with_event();
+            let mut rate = self.stream_rate.get();
+            rate.record(now);
             self.stream_rate.set(rate);
         }
         let mut retry_budget = self.retry_budget.borrow_mut();
@@ -340,7 +341,7 @@
     fn unreported_streams(&self) -> f64 {
         let now = self.clock.now();
         let peers = self.peers.borrow().alive_count(now);
-        let rate = self.stream_rate.get().decayed_to(now).per_s();
+        let rate = self.stream_rate.get().per_s(now);
         rate * f64::from(peers) * peers::expected_gossip_age(peers).as_secs_f64()
     }
 
