targets: keep to what targets say of themselves in their answers

Nothing read `Server-Leaving`, so an instance cut from the store went on sending requests to an engine that had said it leaves until it was gone. Nothing read `Retry-After` of an engine's 503 either.

The core now keeps both for the process that said them. A process that leaves gets no new requests of any instance until a later one is listed; a target that refused with a delay gets none of that instance for so long, at most 60 s, and its load returns over 3 s. Neither is subject to the rule that exclusions are ignored when they concern every target: callers are refused at once. A placement is checked again right before its request is sent. Peers are told in a new field of LeavingTarget. A queued prompt without usable engines is refused at once.

Tests: core serving::leaving (9), gateway leaving (8).

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -109,6 +109,12 @@
     "target-limit" ["target", "limit_per_s", "before_per_s", "source"]
         "a target takes this many requests per second from all instances; without `limit_per_s` it has withdrawn its limit";
     "target-limit-faulty" ["target", "cause"] "the limit in a response of a target is invalid and ignored";
+    "target-leaving" ["target", "source"]
+        "a target said in an answer to `source` that it leaves; its process gets no new requests";
+    "target-paused" ["target", "out_ms"]
+        "a target refused a request and wants none of this instance for `out_ms`";
+    "target-notice-faulty" ["target", "cause"]
+        "what a response says of its target is invalid, and ignored or bounded";
     "part-refused" ["part", "source"]
         "prompts with this part are refused, as it crashes engines; `source` reported the latest crash";
     "part-allowed" ["part", "source"]
--- a/crates/core/src/serving/placement/mod.rs
+++ b/crates/core/src/serving/placement/mod.rs
@@ -115,6 +115,9 @@
     /// The limits of all usable targets are reached. Holds the time until the first of
     /// them allows another request.
     AtLimit(Duration),
+    /// All usable targets want no requests of this instance at present. Holds the time
+    /// until the first of them does.
+    Paused(Duration),
 }
 
 /// Chooses the target of a request, and helpers if the prompt is to be split.
@@ -135,9 +138,11 @@
         let at_limit = targets.at_limit(&request.service, &request.excluded, now);
         let waits = at_limit.iter();
         let waits = waits.map(|target| targets.limits.wait(&target.facts.id, now));
-        return Err(waits
-            .min()
-            .map_or(PlacementError::NoTarget, PlacementError::AtLimit));
+        if let Some(wait) = waits.min() {
+            return Err(PlacementError::AtLimit(wait));
+        }
+        let pause = targets.pause_left(&request.service, &request.excluded, now);
+        return Err(pause.map_or(PlacementError::NoTarget, PlacementError::Paused));
     }
     match (&request.stream, model) {
         (Some(stream), Some(model)) => {
--- a/crates/core/src/serving/targets/mod.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod limits;
 mod load;
+pub mod notices;
 mod restored;
 
 use std::{
@@ -20,6 +21,7 @@
 use limits::TargetLimits;
 use load::PeerLoads;
 pub use load::{Load, LoadReport};
+use notices::Notices;
 use restored::Departure;
 
 /// Exclusion after the first request without a response; doubles with each
@@ -31,7 +33,7 @@
 
 /// Exclusion of a target that refused a request although it has room. Such a
 /// target is shutting down; its entry in the target list follows soon.
-const LEAVING_BACKOFF: Duration = Duration::from_secs(5);
+pub const LEAVING_BACKOFF: Duration = Duration::from_secs(5);
 
 /// Weight of the newest outcome in the moving average of a target's failures.
 const OUTCOME_WEIGHT: f64 = 0.2;
@@ -133,6 +135,8 @@
 pub struct Target {
     /// Latest entry in the target list.
     pub facts: TargetFacts,
+    /// Time at which the first entry of the target's process was read.
+    known_since: Instant,
     /// End of the linger time of a target without an entry.
     removed_at: Option<Instant>,
     suspect_until: Option<Instant>,
@@ -161,6 +165,8 @@
     peers: HashMap<InstanceId, PeerLoads>,
     /// Limits that targets set on their requests.
     pub limits: TargetLimits,
+    /// What targets said of themselves.
+    notices: Notices,
     /// Moving average of the durations of served requests.
     mean_durations: HashMap<ServiceId, Duration>,
 }
@@ -227,6 +233,8 @@
         let targets = &self.targets;
         self.limits
             .remove_expired(|id| targets.contains_key(id), now);
+        self.notices
+            .remove_expired(|id| targets.contains_key(id), now);
     }
 
     /// Records a request that is being sent. The first part belongs to the target
@@ -494,7 +502,7 @@
     /// Targets of a service that take new requests, whether they can be reached or not.
     pub fn listed(&self, service: &ServiceId, now: Instant) -> impl Iterator<Item = &Target> {
         self.targets.values().filter(move |target| {
-            &target.facts.service == service && !target.facts.draining && !target.is_removed(now)
+            &target.facts.service == service && !self.is_closed(target) && !target.is_removed(now)
         })
     }
 
@@ -511,21 +519,29 @@
     }
 
     /// Targets of a service that are not excluded for a time. If every target is, these
-    /// exclusions are ignored.
+    /// exclusions are ignored; not so what the targets say of themselves.
     fn eligible(&self, service: &ServiceId, excluded: &[EngineId], now: Instant) -> Vec<&Target> {
         let candidates = self.listed(service, now);
         let candidates: Vec<&Target> = candidates
             .filter(|target| !excluded.contains(&target.facts.id))
+            .filter(|target| !self.is_paused(target, now))
             .collect();
         let healthy: Vec<&Target> = candidates
             .iter()
             .copied()
             .filter(|target| !target.is_excluded(now))
             .collect();
-        if healthy.is_empty() {
-            candidates
-        } else {
-            healthy
+        let eligible = match healthy.is_empty() {
+            true => candidates,
+            false => healthy,
+        };
+        let with_room = eligible.iter().copied();
+        let with_room: Vec<&Target> = with_room
+            .filter(|target| self.has_return_room(target, now))
+            .collect();
+        match with_room.is_empty() {
+            true => eligible,
+            false => with_room,
         }
     }
 }
@@ -547,6 +563,7 @@
     fn new(facts: TargetFacts, now: Instant) -> Self {
         Self {
             facts,
+            known_since: now,
             removed_at: None,
             suspect_until: None,
             leaving_until: None,
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod dissemination;
 mod fleet;
+mod leaving;
 mod loads;
 mod memory;
 mod peers;
--- a/crates/daemon/src/gateway/attempt/exchange.rs
+++ b/crates/daemon/src/gateway/attempt/exchange.rs
@@ -26,7 +26,7 @@
             reservations::Reservations,
             timeouts::{ResponseTimeouts, WaitError},
         },
-        target_limits,
+        target_limits, target_notices,
     },
     telemetry::{process_events, trace::TraceEvent},
 };
@@ -49,6 +49,7 @@
     response_timeouts: ResponseTimeouts,
 ) -> Result<Exchange, AttemptError> {
     let mut in_flight = InFlightGuard::begin(gateway, &request.service, placement);
+    let process = gateway.targets.borrow().process(&placement.target);
     // A delayed order of an earlier attempt may still take effect, so each attempt
     // uses reservation ids of its own.
     let reservation_prefix = format!("{}-{:08x}", request.id, gateway.rng.borrow_mut().u32(..));
@@ -89,6 +90,15 @@
             ));
         }
     };
+    if let Some(err) = withdrawn_target(gateway, placement) {
+        return Err(log_failure(
+            gateway,
+            request,
+            &in_flight,
+            AttemptError::NotSent,
+            &err,
+        ));
+    }
     let target_request =
         build_target_request(gateway, request, placement, &reservations, last_event_id);
     let awaited = in_flight.awaited();
@@ -128,6 +138,9 @@
     };
     in_flight.record_received();
     target_limits::record_response(gateway, &in_flight.target, &response, sent_at);
+    if let Some(process) = process {
+        target_notices::record_response(gateway, &process, &response);
+    }
     let exchange = Exchange {
         response,
         in_flight,
@@ -137,6 +150,19 @@
     check::check(gateway, request, exchange).await
 }
 
+/// The error of a placement whose targets no longer all take requests: what became known
+/// since then counts.
+fn withdrawn_target(gateway: &Gateway, placement: &Placement) -> Option<anyhow::Error> {
+    let now = gateway.clock.now();
+    let targets = gateway.targets.borrow();
+    let mut parts = placement.parts.iter();
+    let withdrawn = parts.find(|part| !targets.accepts(&part.target, now))?;
+    Some(anyhow::anyhow!(
+        "{} takes no requests since the placement",
+        withdrawn.target
+    ))
+}
+
 fn record_reservation(
     gateway: &Gateway,
     request: &ClientRequest,
--- a/crates/daemon/src/gateway/attempt/reservations.rs
+++ b/crates/daemon/src/gateway/attempt/reservations.rs
@@ -20,7 +20,7 @@
 use http_body_util::Full;
 
 use crate::{
-    gateway::{Gateway, target_limits, upstream::Connection},
+    gateway::{Gateway, target_limits, target_notices, upstream::Connection},
     telemetry::process_events,
 };
 
@@ -178,6 +178,7 @@
         .header(http::header::CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(body)))
         .context("build order request")?;
+    let process = gateway.targets.borrow().process(&reservation.target);
     let mut connection = Connection::open(address, ORDER_TIMEOUT).await?;
     let call = connection.call(request);
     let response = actix_rt::time::timeout(ORDER_TIMEOUT, call).await;
@@ -186,5 +187,8 @@
     })?;
     let response = response.with_context(|| format!("send order to engine {address}"))?;
     target_limits::record_order_response(gateway, &reservation.target, &response);
+    if let Some(process) = process {
+        target_notices::record_response(gateway, &process, &response);
+    }
     Ok(response.status().as_u16())
 }
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -5,7 +5,11 @@
 use cyclamengauge_core::{
     clock::Instant,
     ids::{EngineId, ServiceId},
-    serving::{reachability::PathState, targets::Target, watchers::WatchState},
+    serving::{
+        reachability::PathState,
+        targets::{Target, Targets},
+        watchers::WatchState,
+    },
 };
 
 use crate::{
@@ -19,23 +23,27 @@
     Usable,
     Suspect,
     Leaving,
+    Paused,
     Unconfirmed,
     Draining,
 }
 
 impl TargetState {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Usable,
         Self::Suspect,
         Self::Leaving,
+        Self::Paused,
         Self::Unconfirmed,
         Self::Draining,
     ];
 
-    fn of(target: &Target, now: Instant) -> Self {
+    fn of(targets: &Targets, target: &Target, now: Instant) -> Self {
         match target {
             target if target.facts.draining => Self::Draining,
+            target if targets.has_said_leaving(target) => Self::Leaving,
             target if target.is_leaving(now) => Self::Leaving,
+            target if targets.is_paused(target, now) => Self::Paused,
             target if target.is_suspect(now) => Self::Suspect,
             target if target.is_unconfirmed(now) => Self::Unconfirmed,
             _ => Self::Usable,
@@ -47,6 +55,7 @@
             Self::Usable => "usable",
             Self::Suspect => "suspect",
             Self::Leaving => "leaving",
+            Self::Paused => "paused",
             Self::Unconfirmed => "unconfirmed",
             Self::Draining => "draining",
         }
@@ -108,7 +117,7 @@
     let mut counts: BTreeMap<(&ServiceId, TargetState), u32> = BTreeMap::new();
     let targets = gateway.targets.borrow();
     for target in targets.iter() {
-        let state = TargetState::of(target, now);
+        let state = TargetState::of(&targets, target, now);
         *counts.entry((&target.facts.service, state)).or_default() += 1;
     }
     for service in route_table.services() {
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -1,6 +1,6 @@
 //! Encoding and decoding of gossip messages.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use cyclamengauge_core::{
     clock::Instant,
@@ -12,7 +12,7 @@
         queue::QueuedPrompt,
         reachability::{PathReport, PeerReport},
         target_list::ListVersion,
-        targets::{Load, LoadReport, limits::LimitReport},
+        targets::{self, Load, LoadReport, Targets, limits::LimitReport},
         watchers::WatchState,
     },
     text::SmolStr,
@@ -62,7 +62,7 @@
     });
     let loads: Vec<v1::TargetLoad> = loads.collect();
     let queued_prompts = gateway.queue.borrow().local_prompts(now);
-    let leaving = targets.leaving(now);
+    let leaving = encode_leaving(&targets, now);
     let crashes = gateway.crashes.borrow().recent(MAX_REPORTED_CRASH_AGE, now);
     let list_version = gateway.target_list.borrow().version();
     let prompt_parts = gateway.prompt_parts.borrow();
@@ -79,7 +79,7 @@
         loads,
         crashes: crashes.into_iter().map(encode_crashes).collect(),
         waiting: queued_prompts.iter().map(encode_queued_prompt).collect(),
-        leaving: leaving.iter().map(encode_leaving).collect(),
+        leaving,
         list_version: list_version.number,
         list_era: list_version.era,
         changes_only: message == DueMessage::Changes,
@@ -166,12 +166,26 @@
     }
 }
 
-/// Encodes a leaving target and the remaining time of its exclusion.
-fn encode_leaving((id, remaining): &(EngineId, Duration)) -> v1::LeavingTarget {
-    v1::LeavingTarget {
-        target: id.to_string(),
-        rest_ms: remaining.as_millis() as u64,
+/// Encodes the targets that are excluded as they are leaving, and those that said so.
+fn encode_leaving(targets: &Targets, now: Instant) -> Vec<v1::LeavingTarget> {
+    let mut leaving: BTreeMap<EngineId, v1::LeavingTarget> = BTreeMap::new();
+    for (id, remaining) in targets.leaving(now) {
+        let target = v1::LeavingTarget {
+            target: id.to_string(),
+            rest_ms: remaining.as_millis() as u64,
+            leaving_process_started_unix_ms: None,
+        };
+        leaving.insert(id, target);
+    }
+    for process in targets.leaving_processes(now) {
+        let target = v1::LeavingTarget {
+            target: process.target.to_string(),
+            rest_ms: targets::LEAVING_BACKOFF.as_millis() as u64,
+            leaving_process_started_unix_ms: Some(process.started_unix_ms),
+        };
+        leaving.insert(process.target, target);
     }
+    leaving.into_values().collect()
 }
 
 fn encode_queued_prompt(prompt: &QueuedPrompt) -> v1::WaitingPrompt {
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -21,7 +21,7 @@
     serving::{
         dissemination::DueMessage,
         peers::{MessageNumber, Reception, Recipient, Sender},
-        targets::limits::LimitReport,
+        targets::{limits::LimitReport, notices::TargetProcess},
         watchers::WatchState,
     },
     text::SmolStr,
@@ -31,7 +31,7 @@
 use prost::Message;
 
 use crate::{
-    gateway::{Gateway, attempt::paths, refused_parts, target_limits},
+    gateway::{Gateway, attempt::paths, refused_parts, target_limits, target_notices},
     telemetry::process_events,
 };
 
@@ -223,10 +223,14 @@
         }
     }
     for leaving in &gossip.leaving {
-        let remaining = Duration::from_millis(leaving.rest_ms);
-        targets.record_peer_leaving(&EngineId::new(&leaving.target), remaining, now);
+        let target = EngineId::new(&leaving.target);
+        if leaving.leaving_process_started_unix_ms.is_none() {
+            let remaining = Duration::from_millis(leaving.rest_ms);
+            targets.record_peer_leaving(&target, remaining, now);
+        }
     }
     drop(targets);
+    record_leaving_processes(gateway, gossip);
     paths::merge_report(gateway, messages::decode_peer_report(gossip, address));
     for content in &gossip.crashes {
         record_crashes(gateway, content, now);
@@ -247,6 +251,18 @@
     fetch::schedule_fetch(gateway, peer);
 }
 
+fn record_leaving_processes(gateway: &Gateway, gossip: &v1::Gossip) {
+    for leaving in &gossip.leaving {
+        if let Some(started_unix_ms) = leaving.leaving_process_started_unix_ms {
+            let process = TargetProcess {
+                target: EngineId::new(&leaving.target),
+                started_unix_ms,
+            };
+            target_notices::record_leaving(gateway, &process, &gossip.instance);
+        }
+    }
+}
+
 fn record_target_limits(gateway: &Gateway, peer: &InstanceId, gossip: &v1::Gossip, now: Instant) {
     let reports = gossip.target_limits.iter();
     let reports: Vec<LimitReport> = reports.map(messages::decode_target_limit).collect();
--- a/crates/daemon/src/gateway/handover/send.rs
+++ b/crates/daemon/src/gateway/handover/send.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use cyclamengauge_core::{ids::EngineId, serving::reachability::PeerChoice};
+use cyclamengauge_core::{clock::Instant, ids::EngineId, serving::reachability::PeerChoice};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -25,6 +25,7 @@
             },
         },
         response::GatewayError,
+        target_notices,
         upstream::Connection,
     },
     telemetry::trace::TraceEvent,
@@ -85,11 +86,12 @@
         Err(err) => return Err(fail(&in_flight, AttemptError::NotSent, &err)),
     };
     let awaited = in_flight.awaited();
+    let sent_at = gateway.clock.now();
     let sending = connection.send(http_request);
     let sent = timeouts.wait(gateway, &awaited, request.deadline, sending);
     let (error, err) = match sent.await {
         Ok(Ok(response)) => {
-            return receive(gateway, request, in_flight, connection, response).await;
+            return receive(gateway, request, in_flight, connection, response, sent_at).await;
         }
         Ok(Err(err)) => (AttemptError::Broken, anyhow::Error::new(err)),
         Err(wait_error) => (AttemptError::NoResponse, anyhow::anyhow!("{wait_error}")),
@@ -103,13 +105,14 @@
     Err(fail(&in_flight, error, &err))
 }
 
-/// Takes the head of a peer's response.
+/// Takes the head of a peer's response to a request that was sent at `sent_at`.
 async fn receive(
     gateway: &Rc<Gateway>,
     request: &ClientRequest,
     mut in_flight: InFlightGuard,
     connection: Connection,
     mut response: Response<Incoming>,
+    sent_at: Instant,
 ) -> Result<Exchange, Failure> {
     let is_rejected = response.status().is_client_error();
     let map = response.headers_mut();
@@ -125,6 +128,10 @@
     count_handover(outcome.name());
     let target = in_flight.target.clone();
     if outcome == Outcome::Answered {
+        let process = gateway.targets.borrow().process_since(&target, sent_at);
+        if let Some(process) = process {
+            target_notices::record_passed_on(gateway, &process, &response);
+        }
         let exchange = Exchange {
             response,
             in_flight,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -17,6 +17,7 @@
   peers that watch it;
 - `gossip`: exchange of loads, crashes and versions between instances;
 - `target_limits`: the limits that targets name in their responses;
+- `target_notices`: what targets say of themselves in their responses;
 - `refused_parts`: parts of prompts that crash engines, in the platform's store;
 - `memory`: the memory that is held for clients and targets;
 - `upstream`, `store`: outgoing connections and the store client.
@@ -34,12 +35,13 @@
 mod run;
 mod store;
 mod target_limits;
+mod target_notices;
 mod upstream;
 mod watch;
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeSet,
+    collections::{BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
 };
@@ -143,6 +145,8 @@
     retry_budget: RefCell<RetryBudget>,
     /// Latest log line about an invalid limit of a target.
     faulty_limit_logged_at: Cell<Option<Instant>>,
+    /// Latest log line about an invalid notice, by target.
+    faulty_notices_logged_at: RefCell<HashMap<EngineId, Instant>>,
     /// Targets whose limits the metrics have, so that they can be reset.
     limits_in_metrics: RefCell<BTreeSet<EngineId>>,
     crashes: RefCell<Crashes>,
@@ -217,6 +221,7 @@
             queue: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             faulty_limit_logged_at: Cell::default(),
+            faulty_notices_logged_at: RefCell::default(),
             limits_in_metrics: RefCell::default(),
             crashes: RefCell::default(),
             prompt_parts: RefCell::default(),
--- a/crates/daemon/src/gateway/request/attempts.rs
+++ b/crates/daemon/src/gateway/request/attempts.rs
@@ -19,7 +19,7 @@
         attempt::{self, AttemptError, ClientRequest, Exchange, Outlook, ResponseTimeouts, paths},
         handover::{self, Failure, Origin, Resumed},
         response::GatewayError,
-        target_limits,
+        target_limits, target_notices,
     },
     telemetry::trace::{self, RequestEnd, TraceEvent},
 };
@@ -417,6 +417,14 @@
 
     /// Builds the error of a request that finds no room.
     pub fn busy_error(&self, request: &ClientRequest, targets: &Targets) -> GatewayError {
+        let (service, now) = (&request.service, self.gateway.clock.now());
+        if targets.usable(service, &[], now).is_empty()
+            && let Some(pause_left) = targets.pause_left(service, &[], now)
+        {
+            target_notices::count_refusal(service);
+            let delay = target_notices::retry_delay(&self.gateway, pause_left);
+            return GatewayError::TargetsPaused(delay);
+        }
         let slot_wait = targets.expected_slot_wait(&request.service);
         GatewayError::TargetsBusy(
             slot_wait
--- a/crates/daemon/src/gateway/request/placing.rs
+++ b/crates/daemon/src/gateway/request/placing.rs
@@ -13,6 +13,7 @@
         attempt::{ClientRequest, QueueEntry, client_timeout},
         request::attempts::{Attempts, RequestError},
         response::GatewayError,
+        target_notices,
     },
     telemetry::trace::{PlacementDetails, TraceEvent},
 };
@@ -58,7 +59,8 @@
             if patience.is_exhausted(wait, self.gateway.clock.now()) {
                 return Err(self.overloaded_error(request, wait));
             }
-            if entry.is_next(engines) {
+            // Without usable engines, the placement says why and until when.
+            if engines.usable == 0 || entry.is_next(engines) {
                 match self.place(request) {
                     Ok(placement) if placement.wait <= queue::MAX_DISPATCH_BACKLOG => {
                         let waited = self.gateway.clock.now() - queued_at;
@@ -130,18 +132,27 @@
         let targets = self.gateway.targets.borrow();
         let mut rng = self.gateway.rng.borrow_mut();
         let placed = placement::choose(&targets, &placement_request, model, &mut rng, now);
+        drop(rng);
         placed.map_err(|error| {
             if let PlacementError::AtLimit(wait) = error
                 && !self.may_have_executed
             {
                 return RequestError::Gateway(GatewayError::TargetsAtLimit(wait));
             }
+            if let PlacementError::Paused(pause_left) = error
+                && !self.may_have_executed
+            {
+                target_notices::count_refusal(&request.service);
+                let delay = target_notices::retry_delay(&self.gateway, pause_left);
+                return RequestError::Gateway(GatewayError::TargetsPaused(delay));
+            }
             if self.may_have_executed || self.sent_attempts > 0 {
                 return self.final_error_for(request, &targets);
             }
             RequestError::Gateway(match error {
                 PlacementError::NoTarget => GatewayError::NoTarget,
                 PlacementError::AtLimit(wait) => GatewayError::TargetsAtLimit(wait),
+                PlacementError::Paused(wait) => GatewayError::TargetsPaused(wait),
                 PlacementError::TooLong => GatewayError::PromptTooLong,
                 PlacementError::NoMemory => self.busy_error(request, &targets),
             })
--- a/crates/daemon/src/gateway/response/error.rs
+++ b/crates/daemon/src/gateway/response/error.rs
@@ -42,6 +42,9 @@
     /// The limits that the usable targets named are reached. Holds the time after which a
     /// retry is likely to succeed.
     TargetsAtLimit(Duration),
+    /// The usable targets want no requests of this instance at present. Holds the time
+    /// after which a retry is likely to succeed.
+    TargetsPaused(Duration),
     /// The expected wait in the long-prompt queue exceeds the request's limit. Holds
     /// the time after which a retry is likely to succeed.
     Overloaded(Duration),
@@ -71,6 +74,7 @@
             Self::TargetsUnreachable(_) => "targets-unreachable",
             Self::TargetsBusy(_) => "targets-busy",
             Self::TargetsAtLimit(_) => "targets-at-limit",
+            Self::TargetsPaused(_) => "targets-paused",
             Self::Overloaded(_) => "overloaded",
             Self::PromptTooLong => "prompt-too-long",
             Self::ShuttingDown => "shutting-down",
@@ -96,6 +100,7 @@
             | Self::TargetsUnreachable(_)
             | Self::TargetsBusy(_)
             | Self::TargetsAtLimit(_)
+            | Self::TargetsPaused(_)
             | Self::Overloaded(_)
             | Self::PromptTooLong
             | Self::ShuttingDown => 503,
@@ -112,6 +117,7 @@
             Self::TargetsUnreachable(wait)
             | Self::TargetsBusy(wait)
             | Self::TargetsAtLimit(wait)
+            | Self::TargetsPaused(wait)
             | Self::Overloaded(wait) => Some(wait),
             // Typical restart time of a target.
             Self::NoTarget => Some(Duration::from_millis(1_000)),
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -130,6 +130,37 @@
     );
 }
 
+/// Logs that a target has said to the instance `source` that it leaves.
+pub fn log_target_leaving(target: &EngineId, source: &str) {
+    tracing::info!(
+        event = "target-leaving",
+        %target,
+        source,
+        "targets: {target} said to {source} that it leaves, no new requests until it restarts"
+    );
+}
+
+/// Logs that a target wants no requests of this instance for a time.
+pub fn log_target_paused(target: &EngineId, paused_for: Duration) {
+    tracing::info!(
+        event = "target-paused",
+        %target,
+        out_ms = millis(paused_for),
+        "targets: {target} wants no requests for {} ms",
+        paused_for.as_millis()
+    );
+}
+
+/// Logs that what a target said of itself is invalid.
+pub fn log_target_notice_faulty(target: &EngineId, cause: &anyhow::Error) {
+    tracing::warn!(
+        event = "target-notice-faulty",
+        %target,
+        cause = format!("{cause:#}"),
+        "targets: response of {target}: {cause:#}"
+    );
+}
+
 /// Logs that a target has named a limit on its requests per second or, without `limit`,
 /// withdrawn it. `source` is the instance that got the response.
 pub fn log_target_limit(
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -257,6 +257,9 @@
         let limit = Some(RequestsPerSecond(1.5));
         process_events::log_target_limit(&target_id(), limit, limit, "a");
         process_events::log_target_limit_faulty(&target_id(), &err);
+        process_events::log_target_leaving(&target_id(), "a");
+        process_events::log_target_paused(&target_id(), Duration::from_millis(1_500));
+        process_events::log_target_notice_faulty(&target_id(), &err);
         process_events::log_part_refused(&PromptPartId::new("p1"), "a");
         process_events::log_part_allowed(&PromptPartId::new("p1"), "a");
         process_events::log_refused_parts_failed("read", &err);
