An instance that has just started expects the peers whose addresses it has found

Cause: after a restart of all instances, each took itself for the only one until its peers' first messages, which reached 40 of them every 400 ms: 36 peers were known after 1.4 s, 129 after more than 2 s.

Change: peers whose addresses were found within the last 3 s count as instances that share the traffic, also for the shares of the retry budget; what they place is unknown since the start; all of them get the complete state at once after the addresses are read. The gauge of peers counts those that are heard, as before.

--- a/crates/core/src/serving/dissemination.rs
+++ b/crates/core/src/serving/dissemination.rs
@@ -50,6 +50,11 @@
         self.report_changes_by(now + PROGRESS_DELAY);
     }
 
+    /// Records that addresses of peers were found, which get the complete state at once.
+    pub fn record_new_peers(&mut self, now: Instant) {
+        self.complete_state_due_at = now;
+    }
+
     /// Time of the next message.
     pub fn due_at(&self) -> Instant {
         let complete_state = self.complete_state_due_at;
--- a/crates/core/src/serving/peers.rs
+++ b/crates/core/src/serving/peers.rs
@@ -64,6 +64,8 @@
     /// address was added.
     last_received_at: Instant,
     has_sent_message: bool,
+    /// Whether it was a recipient of a complete state.
+    has_been_greeted: bool,
     last_sent_at: Instant,
     /// Known from its messages.
     data_centre: Option<DataCentreId>,
@@ -78,6 +80,12 @@
     fn is_alive(&self, now: Instant) -> bool {
         self.has_sent_message && now - self.last_received_at <= ALIVE_TIMEOUT
     }
+
+    /// Whether it is alive as far as this instance can know: its address was found a short
+    /// time ago, and its first message may be under way.
+    fn may_be_alive(&self, now: Instant) -> bool {
+        now - self.last_received_at <= ALIVE_TIMEOUT
+    }
 }
 
 /// Sender of a gossip message.
@@ -140,6 +148,7 @@
         self.peers.entry(address).or_insert(Peer {
             last_received_at: now,
             has_sent_message: false,
+            has_been_greeted: false,
             last_sent_at: now,
             data_centre: None,
         });
@@ -151,6 +160,13 @@
         alive.count() as u32
     }
 
+    /// Number of peers that may be alive: those that sent a message recently, and those
+    /// whose addresses were found a short time ago, as after a start.
+    pub fn expected_count(&self, now: Instant) -> u32 {
+        let expected = self.peers.values().filter(|peer| peer.may_be_alive(now));
+        expected.count() as u32
+    }
+
     /// Whether messages of the peer at an address arrive.
     pub fn is_heard(&self, address: SocketAddr, now: Instant) -> bool {
         let peer = self.peers.get(&address);
@@ -264,16 +280,30 @@
         let first = due.partition_point(|r| Some(r.address) <= self.last_recipient);
         due.rotate_left(first);
         due.truncate(MAX_FANOUT);
+        self.last_recipient = due.last().map(|recipient| recipient.address);
         for recipient in &due {
             if let Some(peer) = self.peers.get_mut(&recipient.address) {
                 peer.last_sent_at = now;
+                peer.has_been_greeted = true;
             }
         }
-        self.last_recipient = due.last().map(|recipient| recipient.address);
         due.extend(self.forwarders(data_centre, rng, now));
         due
     }
 
+    /// Takes the peers that have had no complete state yet, as after a start: they learn of
+    /// this instance at once.
+    pub fn take_new(&mut self, now: Instant) -> Vec<Recipient> {
+        let new = self.peers.iter_mut();
+        let new = new.filter(|(_, peer)| !peer.has_been_greeted);
+        let new = new.map(|(address, peer)| {
+            peer.last_sent_at = now;
+            peer.has_been_greeted = true;
+            Recipient::direct(*address)
+        });
+        new.collect()
+    }
+
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         self.peers
             .iter()
@@ -337,6 +367,25 @@
     }
 }
 
+/// Longest time for which placements of a peer that has sent no message yet matter: most of
+/// the streams that it placed before have had their first event.
+const MAX_UNHEARD_TIME: Duration = Duration::from_secs(1);
+
+/// Expected number of streams that peers have placed and this instance does not know of, if
+/// each of them receives `rate_per_s` of them: of the `heard` peers those since their last
+/// message, of the `unheard` ones all since the start of this instance, as the others have
+/// mostly started with it.
+pub fn unreported_streams(
+    rate_per_s: f64,
+    heard: u32,
+    unheard: u32,
+    time_since_start: Duration,
+) -> f64 {
+    let heard_time = expected_gossip_age(heard).as_secs_f64() * f64::from(heard);
+    let unheard_time = time_since_start.min(MAX_UNHEARD_TIME).as_secs_f64() * f64::from(unheard);
+    rate_per_s * (heard_time + unheard_time)
+}
+
 /// Expected age of what is known of a placement when the next one is made: peers that
 /// a message with changes does not reach learn of it from a complete state.
 pub fn expected_gossip_age(peers: u32) -> Duration {
--- a/crates/core/tests/serving/loads.rs
+++ b/crates/core/tests/serving/loads.rs
@@ -169,8 +169,9 @@
 }
 
 /// Pattern: all instances have lost power, and the callers of a second return at the same
-/// moment. Guards against instances that place them on the same engines, as an instance
-/// that has seen no requests expects none at its peers.
+/// moment, also before the instances have heard of each other. Guards against instances that
+/// place them on the same engines, as an instance that has seen no requests, or no peers,
+/// expects no other streams.
 #[test]
 fn callers_that_return_together_meet_their_objectives() {
     let deployment = Deployment {
@@ -185,7 +186,9 @@
         events: 35,
     };
     for seed in 0..4 {
-        let count = simulate_return(deployment, kind, 150, 100, seed);
+        let count = simulate_return(deployment, kind, 150, 100, 0, seed);
         assert_on_time(&[count], TARGET_SHARE);
+        let unheard = simulate_return(deployment, kind, 150, 100, 100, seed);
+        assert_on_time(&[unheard], MIN_BURST_SHARE);
     }
 }
--- a/crates/core/tests/serving/peers.rs
+++ b/crates/core/tests/serving/peers.rs
@@ -1,10 +1,10 @@
 //! Which peers count as alive, and which ones get the next gossip message.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use cyclamengauge_core::{
     ids::{DataCentreId, InstanceId},
-    serving::peers::{MessageNumber, Peers, Reception, Recipient, Sender},
+    serving::peers::{MessageNumber, Peers, Reception, Recipient, Sender, unreported_streams},
 };
 
 use crate::fleet::{address, ms};
@@ -225,3 +225,27 @@
     assert_eq!(accept(6, 1, 3), Reception::NewProcess);
     assert_eq!(accept(5, 5, 4), Reception::Outdated);
 }
+
+/// Guards against an instance that takes itself for the only one after a restart of all:
+/// it has the addresses of its peers, but no message yet.
+#[test]
+fn peers_whose_addresses_were_just_found_are_expected_and_greeted_at_once() {
+    let mut peers = Peers::default();
+    for number in 0..130 {
+        peers.add_address(address(number), ms(0));
+    }
+    assert_eq!(peers.alive_count(ms(100)), 0);
+    assert_eq!(peers.expected_count(ms(100)), 130);
+    let in_round = start_round(&mut peers, 100).len();
+    assert_eq!(in_round + peers.take_new(ms(100)).len(), 130);
+    assert!(peers.take_new(ms(500)).is_empty());
+    assert!(receive(&mut peers, 0, message_number(1, 1), 3_000));
+    assert_eq!(peers.expected_count(ms(3_100)), 1);
+    // What a peer that is not heard has placed is unknown since the start.
+    let unreported = |heard, unheard| {
+        let time_since_start = Duration::from_millis(200);
+        unreported_streams(10.0, heard, unheard, time_since_start)
+    };
+    assert!((unreported(0, 130) - 260.0).abs() < 1.0);
+    assert!(unreported(130, 0) < 10.0);
+}
--- a/crates/core/tests/serving/simulation.rs
+++ b/crates/core/tests/serving/simulation.rs
@@ -104,6 +104,8 @@
     /// Number of the latest report of each instance.
     sequences: Vec<u64>,
     messages: VecDeque<Message>,
+    /// Time in ms until which the instances have not heard of each other.
+    unheard_until_ms: u64,
 }
 
 /// Simulates a load and counts the requests of each kind that are on time: the first
@@ -131,15 +133,18 @@
 }
 
 /// Simulates `requests` of a kind that arrive evenly within `within_ms` at instances that
-/// have just started, and counts those that meet their objectives.
+/// have just started and hear of each other from `unheard_ms` on, and counts those that meet
+/// their objectives.
 pub fn simulate_return(
     deployment: Deployment,
     kind: RequestKind,
     requests: u64,
     within_ms: u64,
+    unheard_ms: u64,
     seed: u64,
 ) -> OnTimeCount {
     let mut simulation = Simulation::new(deployment, seed);
+    simulation.unheard_until_ms = unheard_ms;
     for now_ms in (0..within_ms + 8_000).step_by(TICK_MS as usize) {
         let arrived = |at_ms: u64| requests * at_ms.min(within_ms) / within_ms;
         for _ in arrived(now_ms)..arrived(now_ms + TICK_MS) {
@@ -169,6 +174,7 @@
             schedules: vec![Schedule::default(); instances],
             sequences: vec![0; instances],
             messages: VecDeque::new(),
+            unheard_until_ms: 0,
         }
     }
 
@@ -228,11 +234,18 @@
     fn placement(&mut self, number: usize, now: Instant) -> Option<Placement> {
         let request = &self.requests[number];
         let targets = &self.instances[request.instance].0;
-        let peers = self.deployment.instances as f64 - 1.0;
+        let peers = self.deployment.instances as u32 - 1;
         let rate = self.rates[request.instance].per_s(now);
         let request = PlacementRequest {
             instances: self.deployment.instances as u32,
-            unreported_streams: rate * peers * self.expected_gossip_age().as_secs_f64(),
+            unreported_streams: match self.deployment.gossip {
+                Gossip::Complete(interval_ms) => rate * f64::from(peers) * interval_ms as f64 / 1e3,
+                Gossip::Scheduled => {
+                    let is_unheard = now < ms(self.unheard_until_ms);
+                    let heard = if is_unheard { 0 } else { peers };
+                    peers::unreported_streams(rate, heard, peers - heard, now - Instant::ZERO)
+                }
+            },
             ..placement_request(request.tokens)
         };
         let model = EngineModel {
@@ -321,7 +334,9 @@
             let Some(message) = self.messages.pop_front() else {
                 break;
             };
-            self.deliver(&message, ms(now_ms));
+            if now_ms >= self.unheard_until_ms {
+                self.deliver(&message, ms(now_ms));
+            }
         }
     }
 
@@ -355,14 +370,6 @@
         }
     }
 
-    /// Expected age of what an instance knows of its peers' placements.
-    fn expected_gossip_age(&self) -> Duration {
-        match self.deployment.gossip {
-            Gossip::Complete(interval_ms) => Duration::from_millis(interval_ms),
-            Gossip::Scheduled => peers::expected_gossip_age(self.deployment.instances as u32 - 1),
-        }
-    }
-
     fn advance_engine(&mut self, number: usize, now_ms: u64) {
         let engine = &mut self.engines[number];
         if let Some((ends_ms, prefilled)) = engine.iteration.take() {
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -67,7 +67,8 @@
     let now = gateway.clock.now();
     let dropped_lines = telemetry::dropped_lines() as f64;
     metrics::gauge!("cyclamengauge_log_lines_lost").set(dropped_lines);
-    metrics::gauge!("cyclamengauge_peers").set(f64::from(gateway.instance_count() - 1));
+    let alive = gateway.peers.borrow().alive_count(now);
+    metrics::gauge!("cyclamengauge_peers").set(f64::from(alive));
     let is_watching = watch::watch_state(gateway) == WatchState::Watching;
     metrics::gauge!("cyclamengauge_watching").set(f64::from(u8::from(is_watching)));
     let refused_parts = gateway.refused_parts() as f64;
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -115,7 +115,9 @@
     let settings = gateway.settings.borrow();
     let mut rng = gateway.rng.borrow_mut();
     let mut peers = gateway.peers.borrow_mut();
-    peers.start_round(&settings.data_centre, &mut rng, now)
+    let mut recipients = peers.start_round(&settings.data_centre, &mut rng, now);
+    recipients.extend(peers.take_new(now));
+    recipients
 }
 
 /// Sends a datagram. A later complete state makes up for one that can't be sent.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -345,15 +345,18 @@
     /// message, if each peer receives streams at the rate of this instance.
     fn unreported_streams(&self) -> f64 {
         let now = self.clock.now();
-        let peers = self.peers.borrow().alive_count(now);
-        let rate = self.stream_rate.get().per_s(now);
-        rate * f64::from(peers) * peers::expected_gossip_age(peers).as_secs_f64()
+        let peers = self.peers.borrow();
+        let heard = peers.alive_count(now);
+        let unheard = peers.expected_count(now) - heard;
+        let rate_per_s = self.stream_rate.get().per_s(now);
+        peers::unreported_streams(rate_per_s, heard, unheard, now - self.started_at)
     }
 
-    /// Number of instances that share the traffic: this one and its live peers.
+    /// Number of instances that share the traffic: this one and the peers that may be
+    /// alive.
     fn instance_count(&self) -> u32 {
         let now = self.clock.now();
-        1 + self.peers.borrow().alive_count(now)
+        1 + self.peers.borrow().expected_count(now)
     }
 
     /// Time since the latest successful store call of the target list's watch.
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -97,6 +97,9 @@
                     add_peers(gateway, rows);
                 }
                 if !has_more {
+                    let now = gateway.clock.now();
+                    gateway.gossip_schedule.borrow_mut().record_new_peers(now);
+                    gateway.gossip_scheduled.notify_one();
                     return;
                 }
             }
