targets: no requests to data centres that operators have evacuated

The watchers' feed and reads in full give the set of evacuated data centres with the store's version; peers hear of it in fields 22 to 25 of every gossip message, and the later version counts. What runs there goes on. Load returns over 3 s. An evacuation that an older copy of the store lacks stays for 120 s.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -115,6 +115,10 @@
         "a target refused a request and wants none of this instance for `out_ms`";
     "target-notice-faulty" ["target", "cause"]
         "what a response says of its target is invalid, and ignored or bounded";
+    "evacuation" ["data_centre", "state", "source"]
+        "operators have evacuated a data centre, whose targets get no new requests, or taken it back";
+    "evacuation-faulty" ["key", "cause"]
+        "an evacuation row can't be read, or its data centre has no targets";
     "part-refused" ["part", "source"]
         "prompts with this part are refused, as it crashes engines; `source` reported the latest crash";
     "part-allowed" ["part", "source"]
--- a/crates/core/src/serving/targets/mod.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -1,5 +1,6 @@
 //! Targets of all services: address, health, and load from all instances.
 
+pub mod evacuation;
 pub mod limits;
 mod load;
 pub mod notices;
@@ -18,6 +19,7 @@
     units::Tokens,
 };
 
+use evacuation::Evacuations;
 use limits::TargetLimits;
 use load::PeerLoads;
 pub use load::{Load, LoadReport};
@@ -167,6 +169,8 @@
     pub limits: TargetLimits,
     /// What targets said of themselves.
     notices: Notices,
+    /// Data centres whose targets get no new requests.
+    pub evacuations: Evacuations,
     /// Moving average of the durations of served requests.
     mean_durations: HashMap<ServiceId, Duration>,
 }
@@ -502,7 +506,9 @@
     /// Targets of a service that take new requests, whether they can be reached or not.
     pub fn listed(&self, service: &ServiceId, now: Instant) -> impl Iterator<Item = &Target> {
         self.targets.values().filter(move |target| {
-            &target.facts.service == service && !self.is_closed(target) && !target.is_removed(now)
+            &target.facts.service == service
+                && !self.is_closed(target, now)
+                && !target.is_removed(now)
         })
     }
 
--- a/crates/core/src/serving/targets/notices.rs
+++ b/crates/core/src/serving/targets/notices.rs
@@ -184,18 +184,26 @@
     /// Whether a request that was placed on a target may still be sent to it.
     pub fn accepts(&self, id: &EngineId, now: Instant) -> bool {
         let target = self.targets.get(id);
-        target.is_none_or(|target| !self.is_closed(target) && !self.is_paused(target, now))
+        target.is_none_or(|target| !self.is_closed(target, now) && !self.is_paused(target, now))
     }
 
     /// Whether a target gets no new requests, for a reason that does not end by itself.
-    pub(super) fn is_closed(&self, target: &Target) -> bool {
-        target.facts.draining || self.has_said_leaving(target)
+    pub(super) fn is_closed(&self, target: &Target, now: Instant) -> bool {
+        target.facts.draining || self.has_said_leaving(target) || self.is_evacuated(target, now)
     }
 
-    /// Whether a target that was paused a short time ago may get another request: the load
+    /// Whether the data centre of a target is evacuated.
+    pub fn is_evacuated(&self, target: &Target, now: Instant) -> bool {
+        let data_centre = &target.facts.data_centre;
+        self.evacuations.is_evacuated(data_centre, now)
+    }
+
+    /// Whether a target that was paused or evacuated a short time ago may get another request: the load
     /// from all instances grows with the time since then.
     pub(super) fn has_return_room(&self, target: &Target, now: Instant) -> bool {
-        let Some(returned_at) = self.notices.paused_until(target) else {
+        let paused_until = self.notices.paused_until(target);
+        let evacuated_until = self.evacuations.ended_at(&target.facts.data_centre);
+        let Some(returned_at) = paused_until.max(evacuated_until) else {
             return true;
         };
         let elapsed = (now - returned_at).as_secs_f64() / RETURN_TIME.as_secs_f64();
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod dissemination;
+mod evacuation;
 mod fleet;
 mod leaving;
 mod loads;
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -23,16 +23,18 @@
     Usable,
     Suspect,
     Leaving,
+    Evacuated,
     Paused,
     Unconfirmed,
     Draining,
 }
 
 impl TargetState {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Usable,
         Self::Suspect,
         Self::Leaving,
+        Self::Evacuated,
         Self::Paused,
         Self::Unconfirmed,
         Self::Draining,
@@ -43,6 +45,7 @@
             target if target.facts.draining => Self::Draining,
             target if targets.has_said_leaving(target) => Self::Leaving,
             target if target.is_leaving(now) => Self::Leaving,
+            target if targets.is_evacuated(target, now) => Self::Evacuated,
             target if targets.is_paused(target, now) => Self::Paused,
             target if target.is_suspect(now) => Self::Suspect,
             target if target.is_unconfirmed(now) => Self::Unconfirmed,
@@ -55,6 +58,7 @@
             Self::Usable => "usable",
             Self::Suspect => "suspect",
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::Paused => "paused",
             Self::Unconfirmed => "unconfirmed",
             Self::Draining => "draining",
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -12,7 +12,11 @@
         queue::QueuedPrompt,
         reachability::{PathReport, PeerReport},
         target_list::ListVersion,
-        targets::{self, Load, LoadReport, Targets, limits::LimitReport},
+        targets::{
+            self, Load, LoadReport, Targets,
+            evacuation::{EvacuationReport, MAX_EVACUATED},
+            limits::LimitReport,
+        },
         watchers::WatchState,
     },
     text::SmolStr,
@@ -63,6 +67,9 @@
     let loads: Vec<v1::TargetLoad> = loads.collect();
     let queued_prompts = gateway.queue.borrow().local_prompts(now);
     let leaving = encode_leaving(&targets, now);
+    let evacuations = targets.evacuations.report().cloned();
+    let knows_evacuations = evacuations.is_some();
+    let evacuations = evacuations.unwrap_or_default();
     let crashes = gateway.crashes.borrow().recent(MAX_REPORTED_CRASH_AGE, now);
     let list_version = gateway.target_list.borrow().version();
     let prompt_parts = gateway.prompt_parts.borrow();
@@ -95,9 +102,29 @@
         paths: paths.iter().map(encode_path).collect(),
         requests_in_progress: gateway.requests_in_progress.get() as u32,
         takes_requests: gateway.takes_requests(),
+        evacuated_data_centres: evacuations
+            .evacuated
+            .iter()
+            .map(DataCentreId::to_string)
+            .collect(),
+        evacuation_version: evacuations.version.number,
+        evacuation_era: evacuations.version.era,
+        knows_evacuations,
     }
 }
 
+/// Decodes the evacuated data centres that a peer knows; none if it knows nothing of them.
+pub(super) fn decode_evacuations(gossip: &v1::Gossip) -> Option<EvacuationReport> {
+    let evacuated = gossip.evacuated_data_centres.iter().take(MAX_EVACUATED);
+    gossip.knows_evacuations.then(|| EvacuationReport {
+        version: ListVersion {
+            era: gossip.evacuation_era,
+            number: gossip.evacuation_version,
+        },
+        evacuated: evacuated.map(DataCentreId::new).collect(),
+    })
+}
+
 /// Encodes this instance's load on a target. `last_received_age` is the time since
 /// the latest bytes from the target.
 fn encode_load(id: &EngineId, load: &Load, last_received_age: Option<Duration>) -> v1::TargetLoad {
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -31,7 +31,7 @@
 use prost::Message;
 
 use crate::{
-    gateway::{Gateway, attempt::paths, refused_parts, target_limits, target_notices},
+    gateway::{Gateway, attempt::paths, refused_parts, target_limits, target_notices, watch},
     telemetry::process_events,
 };
 
@@ -231,6 +231,10 @@
     }
     drop(targets);
     record_leaving_processes(gateway, gossip);
+    if let Some(report) = messages::decode_evacuations(gossip) {
+        let changes = gateway.targets.borrow_mut().evacuations.merge(report, now);
+        watch::report_evacuations(gateway, &changes, &gossip.instance);
+    }
     paths::merge_report(gateway, messages::decode_peer_report(gossip, address));
     for content in &gossip.crashes {
         record_crashes(gateway, content, now);
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -9,6 +9,7 @@
     serving::{
         store_calls::{self, FeedCall, StoreCalls, WatchLimits},
         target_list::{ListChanges, ListVersion},
+        targets::evacuation::EvacuationChange,
         watchers::WatchState,
     },
 };
@@ -312,6 +313,7 @@
 fn apply_rows(gateway: &Gateway, table: store::Table, rows: store::Rows, is_complete: bool) {
     match table {
         store::Table::Operators => {
+            apply_evacuation_rows(gateway, &rows, is_complete);
             for row in rows.rows {
                 apply_configuration_row(gateway, row);
             }
@@ -332,6 +334,51 @@
     }
 }
 
+fn apply_evacuation_rows(gateway: &Gateway, rows: &store::Rows, is_complete: bool) {
+    let mut changes = Vec::new();
+    for row in &rows.rows {
+        match store::decode_evacuation(&row.key, row.value.as_deref()) {
+            Ok(Some(data_centre)) => changes.push(EvacuationChange {
+                data_centre,
+                is_evacuated: row.value.is_some(),
+            }),
+            Ok(None) => {}
+            Err(err) => process_events::log_evacuation_faulty(&row.key, &err),
+        }
+    }
+    let version = ListVersion {
+        era: rows.version.era.0,
+        number: rows.version.number,
+    };
+    let now = gateway.clock.now();
+    let mut targets = gateway.targets.borrow_mut();
+    let changes = targets
+        .evacuations
+        .apply(version, is_complete, &changes, now);
+    drop(targets);
+    report_evacuations(gateway, &changes, STORE_SOURCE);
+}
+
+/// Logs evacuations that have begun or ended, and tells the peers at once. `source` is where
+/// this instance learned of them.
+pub fn report_evacuations(gateway: &Gateway, changes: &[EvacuationChange], source: &str) {
+    if changes.is_empty() {
+        return;
+    }
+    let has_targets = gateway.target_list_loaded.get();
+    for change in changes {
+        let data_centre = &change.data_centre;
+        process_events::log_evacuation(data_centre, change.is_evacuated, source);
+        let targets = gateway.targets.borrow();
+        let mut facts = targets.iter().map(|target| &target.facts);
+        if has_targets && !facts.any(|facts| &facts.data_centre == data_centre) {
+            let err = anyhow::anyhow!("no target is listed in the data centre");
+            process_events::log_evacuation_faulty(data_centre.as_str(), &err);
+        }
+    }
+    gateway.report_placement();
+}
+
 fn apply_configuration_row(gateway: &Gateway, row: store::Row) {
     if row.key != store::CONFIGURATION_KEY {
         return;
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -8,7 +8,7 @@
 
 use cyclamengauge_core::{
     clock::Instant,
-    ids::{EngineId, InstanceId, PromptPartId},
+    ids::{DataCentreId, EngineId, InstanceId, PromptPartId},
     serving::{
         memory::MemoryError,
         reachability::{PathChange, PathState},
@@ -151,6 +151,33 @@
     );
 }
 
+/// Logs that a data centre is evacuated, or no longer. `source` is where this instance learned
+/// of it.
+pub fn log_evacuation(data_centre: &DataCentreId, is_evacuated: bool, source: &str) {
+    let state = match is_evacuated {
+        true => "evacuated",
+        false => "in use",
+    };
+    tracing::info!(
+        event = "evacuation",
+        %data_centre,
+        state,
+        source,
+        "targets: data centre {data_centre} is {state}, from {source}"
+    );
+}
+
+/// Logs that a row that evacuates a data centre is invalid, or names a data centre without
+/// targets.
+pub fn log_evacuation_faulty(key: &str, cause: &anyhow::Error) {
+    tracing::warn!(
+        event = "evacuation-faulty",
+        key,
+        cause = format!("{cause:#}"),
+        "targets: evacuation {key}: {cause:#}"
+    );
+}
+
 /// Logs that what a target said of itself is invalid.
 pub fn log_target_notice_faulty(target: &EngineId, cause: &anyhow::Error) {
     tracing::warn!(
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -260,6 +260,8 @@
         process_events::log_target_leaving(&target_id(), "a");
         process_events::log_target_paused(&target_id(), Duration::from_millis(1_500));
         process_events::log_target_notice_faulty(&target_id(), &err);
+        process_events::log_evacuation(&DataCentreId::new("dc"), true, "a");
+        process_events::log_evacuation_faulty("evacuate/dc", &err);
         process_events::log_part_refused(&PromptPartId::new("p1"), "a");
         process_events::log_part_allowed(&PromptPartId::new("p1"), "a");
         process_events::log_refused_parts_failed("read", &err);
