--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -11,7 +11,7 @@
 use crate::{
     gateway::{self, Gateway, attempt::paths, gauges, gossip, peer_keys, refused_parts, watch},
     http, node,
-    telemetry::{self, process_events},
+    telemetry::{self, process_events, upkeep},
 };
 
 /// Exit code if the settings can't be loaded.
@@ -103,6 +103,9 @@
         process_events::log_start(&settings.instance, gateway.incarnation, settings.listen);
     }
     start(&gateway, listeners);
+    let draining = upkeep::drain_histograms(recorder.clone(), upkeep::DRAIN_INTERVAL);
+    actix_rt::spawn(draining);
+    actix_rt::spawn(upkeep::watch_turns());
     let state = Rc::clone(&gateway);
     actix_rt::spawn(http::serve(metrics_listen, move |_| {
         let dropped_lines = telemetry::dropped_lines();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -14,7 +14,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
-    client_api, control, gateway, http, node::Node, operators, peers, settings, telemetry,
+    client_api, control, gateway, http,
+    node::Node,
+    operators, peers, settings,
+    telemetry::{self, upkeep},
 };
 
 /// Exit code for invalid settings.
@@ -100,6 +103,8 @@
         node.settings.listen
     );
 
+    let draining = upkeep::drain_histograms(recorder.clone(), upkeep::DRAIN_INTERVAL);
+    actix_rt::spawn(draining);
     let client_node = Rc::clone(&node);
     actix_rt::spawn(http::serve(client_listener, move |request| {
         client_api::handle(Rc::clone(&client_node), request)
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -8,6 +8,7 @@
 mod output;
 pub mod process_events;
 pub mod trace;
+pub mod upkeep;
 
 use std::{cell::RefCell, fmt, time::Duration};
 
