crashes: count the crash of an engine's process once, whatever ran on it

Cause: each request that broke off counted as a crash of its own, so three equal lookups on one crashed engine were refused everywhere for ten minutes. A completion cleared a content at one instance, and peers reported its crashes again.

Change: a crash has the id of the engine and the start of its process. Crashes before a completion do not count again.

--- a/crates/core/src/serving/crashes.rs
+++ b/crates/core/src/serving/crashes.rs
@@ -9,10 +9,10 @@
     time::Duration,
 };
 
-use crate::{clock::Instant, request::Fingerprint, text::SmolStr};
+use crate::{clock::Instant, ids::EngineId, request::Fingerprint, text::SmolStr};
 
 /// Number of crashes from which a content is refused. Two can be coincidence: a
-/// crash counts for every request on the engine.
+/// crash counts for the content of every request on the engine.
 pub const MAX_CRASHES: usize = 3;
 
 /// Time after the latest crash for which a content is refused. It exceeds the
@@ -26,9 +26,17 @@
 struct Entry {
     /// Ids of the crashes; a set, so that a crash reported twice counts once.
     crash_ids: BTreeSet<SmolStr>,
+    /// Ids of crashes before the content ran to completion. Peers may still report them.
+    cleared_ids: BTreeSet<SmolStr>,
     last_crash_at: Instant,
 }
 
+/// Returns the id of the crash of an engine's process, the same at all instances and for all
+/// requests that ran on it.
+pub fn crash_id(engine: &EngineId, started_unix_ms: u64) -> SmolStr {
+    SmolStr::new(format!("{engine}/{started_unix_ms}"))
+}
+
 /// Engine crashes by fingerprint of the request content.
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
@@ -40,6 +48,9 @@
     /// the crash and is the same at all instances.
     pub fn record_crash(&mut self, content: Fingerprint, crash_id: SmolStr, now: Instant) {
         let entry = self.entries.entry(content).or_default();
+        if entry.cleared_ids.contains(&crash_id) {
+            return;
+        }
         // A repeated report of a known crash must not extend its retention.
         if entry.crash_ids.insert(crash_id) {
             entry.last_crash_at = now;
@@ -51,7 +62,9 @@
 
     /// Clears the crashes of a content that ran to completion.
     pub fn record_completion(&mut self, content: &Fingerprint) {
-        self.entries.remove(content);
+        if let Some(entry) = self.entries.get_mut(content) {
+            entry.cleared_ids.append(&mut entry.crash_ids);
+        }
     }
 
     /// Whether requests with the content are refused.
@@ -68,7 +81,7 @@
         let recent = self
             .entries
             .iter()
-            .filter(|(_, e)| now - e.last_crash_at <= span);
+            .filter(|(_, e)| !e.crash_ids.is_empty() && now - e.last_crash_at <= span);
         let with_ids = recent.map(|(content, e)| (*content, e.crash_ids.iter().cloned().collect()));
         with_ids.collect()
     }
--- a/crates/core/tests/serving/crashes.rs
+++ b/crates/core/tests/serving/crashes.rs
@@ -4,8 +4,9 @@
 
 use cyclamengauge_core::{
     clock::Instant,
+    ids::EngineId,
     request::Fingerprint,
-    serving::crashes::{Crashes, MAX_CRASHES},
+    serving::crashes::{self, Crashes, MAX_CRASHES},
     text::SmolStr,
 };
 
@@ -78,3 +79,41 @@
     crashes.record_completion(&CONTENT);
     assert!(!crashes.is_refused(&CONTENT, now));
 }
+
+/// Pattern: equal lookups that run on one engine when it crashes.
+#[test]
+fn a_crash_counts_once_however_many_equal_requests_it_breaks() {
+    let now = Instant::from_millis(0);
+    let mut crashes = Crashes::default();
+    let crash = |engine: &str| crashes::crash_id(&EngineId::new(engine), 1_000);
+    for _ in 0..10 {
+        crashes.record_crash(CONTENT, crash("e1"), now);
+    }
+    assert!(!crashes.is_refused(&CONTENT, now));
+    // Another process with the id of the first one is another engine.
+    let restarted = crashes::crash_id(&EngineId::new("e1"), 2_000);
+    crashes.record_crash(CONTENT, restarted, now);
+    crashes.record_crash(CONTENT, crash("e2"), now);
+    assert!(crashes.is_refused(&CONTENT, now));
+}
+
+/// Pattern: a content runs to completion at one instance, and its peers report the crashes
+/// from before once more.
+#[test]
+fn crashes_before_a_completion_do_not_count_again() {
+    let now = Instant::from_millis(0);
+    let mut crashes = Crashes::default();
+    for number in 0..MAX_CRASHES {
+        crashes.record_crash(CONTENT, crash_id(number), now);
+    }
+    crashes.record_completion(&CONTENT);
+    for number in 0..MAX_CRASHES {
+        crashes.record_crash(CONTENT, crash_id(number), now);
+    }
+    assert!(!crashes.is_refused(&CONTENT, now));
+    assert_eq!(crashes.recent(Duration::from_secs(60), now), []);
+    for number in 0..MAX_CRASHES {
+        crashes.record_crash(CONTENT, crash_id(100 + number), now);
+    }
+    assert!(crashes.is_refused(&CONTENT, now));
+}
--- a/crates/daemon/src/gateway/attempt/crash.rs
+++ b/crates/daemon/src/gateway/attempt/crash.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use cyclamengauge_core::{serving::targets::Outcome, text::SmolStr};
+use cyclamengauge_core::serving::{crashes, targets::Outcome};
 
 use crate::{
     gateway::{
@@ -31,6 +31,11 @@
         false => Vec::new(),
     };
     let (target, address) = (in_flight.target.clone(), in_flight.target_address());
+    let crash_id = {
+        let targets = gateway.targets.borrow();
+        let listed = targets.get(&target);
+        crashes::crash_id(&target, listed.map_or(0, |t| t.facts.started_unix_ms))
+    };
     let broke_at = gateway.clock.now();
     actix_rt::spawn(async move {
         let Err(err) = paths::connect(&gateway, &address, CRASH_PROBE_TIMEOUT).await else {
@@ -42,11 +47,10 @@
         }
         let now = gateway.clock.now();
         process_events::log_target_crashed(&request_id, &shared_parts, &target, &err);
-        let crash = SmolStr::new(format!("{target}/{request_id}"));
         gateway
             .crashes
             .borrow_mut()
-            .record_crash(fingerprint, crash, now);
+            .record_crash(fingerprint, crash_id, now);
         gateway.record_part_crash(&shared_parts, &target);
         let mut targets = gateway.targets.borrow_mut();
         let exclusion = targets.record_outcome(&target, Outcome::Silent, now);
