gateway: bound what a target's response costs, in memory and in time

Change: bodies and events are copied into buffers that count in the memory budget; interim responses, bytes before the head and framing have limits that the error names with value; a connection reads 32 KiB before the runtime looks at other sockets. An event is searched once, not once a frame.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -16,6 +16,7 @@
 - [`rate`] measures event rates;
 - [`retry_budget`] limits the retries of all instances;
 - [`memory`] limits the memory that is held for clients and targets;
+- [`framing`] limits the bytes of a response that are not its payload;
 - [`crashes`] counts the engine crashes per request content;
 - [`prompt_parts`] finds the parts of prompts that crash engines.
 */
@@ -23,6 +24,7 @@
 pub mod cost;
 pub mod crashes;
 pub mod dissemination;
+pub mod framing;
 pub mod handover;
 pub mod memory;
 pub mod peers;
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -5,6 +5,7 @@
 mod dissemination;
 mod evacuation;
 mod fleet;
+mod framing;
 mod leaving;
 mod loads;
 mod memory;
--- a/crates/daemon/src/gateway/attempt/check.rs
+++ b/crates/daemon/src/gateway/attempt/check.rs
@@ -120,6 +120,10 @@
         Err(ReadError::Broken(err)) => {
             log_failure(gateway, request, &in_flight, AttemptError::Broken, &err)
         }
+        Err(ReadError::OutOfMemory(err)) => {
+            let err = err.into();
+            log_failure(gateway, request, &in_flight, AttemptError::Broken, &err)
+        }
         Err(ReadError::TimedOut(err)) => {
             log_failure(gateway, request, &in_flight, AttemptError::NoResponse, &err)
         }
--- a/crates/daemon/src/gateway/attempt/error.rs
+++ b/crates/daemon/src/gateway/attempt/error.rs
@@ -1,12 +1,12 @@
 //! How an attempt failed.
 
-use bytes::Bytes;
 use http::Response;
 
 use crate::{
     gateway::{
         Gateway,
         attempt::{client_request::ClientRequest, guards::InFlightGuard},
+        memory::HeldBody,
         response::GatewayError,
     },
     telemetry::trace::TraceEvent,
@@ -20,7 +20,7 @@
     /// The target refused the request without executing it.
     NotExecuted,
     /// The target returned a server error, with a complete body.
-    ErrorResponse(Box<Response<Bytes>>),
+    ErrorResponse(Box<Response<HeldBody>>),
     /// The connection broke or the response is invalid; the request may have been
     /// executed.
     Broken,
--- a/crates/daemon/src/gateway/attempt/events.rs
+++ b/crates/daemon/src/gateway/attempt/events.rs
@@ -1,14 +1,13 @@
 //! Events of a target's stream. Only complete events are returned, as they arrive.
 
-use std::{fmt, rc::Rc};
+use std::{fmt, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use cyclamengauge_core::serving::targets::Outcome;
+use cyclamengauge_core::{clock::Instant, serving::targets::Outcome};
 use http::{
     HeaderValue,
     header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
-use http_body_util::BodyExt;
 
 use crate::gateway::{
     Gateway,
@@ -18,6 +17,7 @@
         guards::InFlightGuard,
         timeouts::{ResponseTimeouts, WaitError},
     },
+    memory::{HeldBuffer, Holder, MemoryError, MemoryHold},
     response,
 };
 
@@ -25,6 +25,10 @@
 /// stream.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Longest wait for memory. It is shorter than the time after which a silent engine is
+/// given up.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(400);
+
 /// Why a stream broke.
 #[derive(Debug)]
 pub enum StreamError {
@@ -32,6 +36,8 @@
     Connection(anyhow::Error),
     /// The connection ended before the first event, without an end of the body.
     EndedBeforeFirstEvent,
+    /// This process has no memory for the next event.
+    OutOfMemory(MemoryError),
     /// The deadline passed, or the engine was silent for too long.
     Timeout(WaitError),
 }
@@ -41,7 +47,7 @@
     pub fn is_possible_crash(&self) -> bool {
         !matches!(
             self,
-            Self::Timeout(WaitError::DeadlineExceeded | WaitError::CutOff)
+            Self::OutOfMemory(_) | Self::Timeout(WaitError::DeadlineExceeded | WaitError::CutOff)
         )
     }
 }
@@ -53,6 +59,7 @@
             Self::EndedBeforeFirstEvent => {
                 f.write_str("the connection ended before the first event of the stream")
             }
+            Self::OutOfMemory(err) => err.fmt(f),
             Self::Timeout(late) => late.fmt(f),
         }
     }
@@ -62,12 +69,17 @@
 
 /// Reads the events of one engine's response.
 pub struct EventReader {
+    gateway: Rc<Gateway>,
     exchange: Exchange,
+    /// Counts the memory of `buffer` and `comments`.
+    hold: MemoryHold,
     /// Received bytes that are not returned yet.
-    buffer: BytesMut,
+    buffer: HeldBuffer,
+    /// How far `buffer` was searched for the end of an event.
+    search: EventSearch,
     /// Comments before the next event. They are no progress of the response, so they are
     /// returned with the event.
-    comments: BytesMut,
+    comments: HeldBuffer,
     /// Whether the response body is complete.
     body_ended: bool,
 }
@@ -82,11 +94,18 @@
 
 impl EventReader {
     /// Creates a reader of a response whose head has arrived.
-    pub fn new(exchange: Exchange) -> Self {
+    pub fn new(gateway: &Rc<Gateway>, request: &ClientRequest, exchange: Exchange) -> Self {
+        let hold = gateway.hold_memory(Holder::TargetResponse {
+            may_have_run: true,
+            is_repeatable: request.route.kind.is_repeatable(),
+        });
         Self {
+            gateway: Rc::clone(gateway),
             exchange,
-            buffer: BytesMut::new(),
-            comments: BytesMut::new(),
+            hold,
+            buffer: HeldBuffer::default(),
+            search: EventSearch::default(),
+            comments: HeldBuffer::default(),
             body_ended: false,
         }
     }
@@ -117,39 +136,41 @@
     ///
     /// # Errors
     ///
-    /// If the stream breaks or ends within an event, or if an event is longer than
-    /// 1 MiB.
+    /// If the stream breaks or ends within an event, if an event is longer than 1 MiB, or
+    /// if there is no memory for it.
     pub async fn next(&mut self, after: Option<u64>) -> Result<Option<EventBatch>, StreamError> {
         loop {
-            if let Some(batch) = self.take_complete_events(after) {
+            let complete = self.take_complete_events(after).await;
+            if let Some(batch) = complete.map_err(StreamError::OutOfMemory)? {
                 return Ok(Some(batch));
             }
-            if self.body_ended {
-                if self.buffer.is_empty() {
-                    let bytes = self.comments.split().freeze();
-                    let last_event_id = None;
-                    let comments = EventBatch {
-                        bytes,
-                        last_event_id,
-                    };
-                    return Ok((!comments.bytes.is_empty()).then_some(comments));
-                }
+            let held_bytes = self.buffer.as_slice().len() + self.comments.as_slice().len();
+            if held_bytes > MAX_EVENT_BYTES {
                 let err =
-                    anyhow::anyhow!("stream ended after {} bytes of an event", self.buffer.len());
+                    anyhow::anyhow!("event of {held_bytes} bytes or more, limit {MAX_EVENT_BYTES}");
                 return Err(StreamError::Connection(err));
             }
-            match self.exchange.response.body_mut().frame().await {
+            if self.body_ended {
+                return self.take_rest();
+            }
+            let body = self.exchange.response.body_mut();
+            let next = tokio::select! {
+                biased;
+                () = self.hold.ended() => {
+                    let held_bytes = self.hold.held_bytes();
+                    return Err(StreamError::OutOfMemory(MemoryError::Ended { held_bytes }));
+                }
+                next = self.exchange.connection.next_data(body) => next,
+            };
+            match next.map_err(StreamError::Connection)? {
                 None => self.body_ended = true,
-                Some(Err(err)) => return Err(StreamError::Connection(err.into())),
-                Some(Ok(frame)) => {
+                Some(data) => {
                     self.exchange.in_flight.record_received();
-                    if let Some(data) = frame.data_ref() {
-                        self.buffer.extend_from_slice(data);
-                    }
-                    if self.buffer.len() + self.comments.len() > MAX_EVENT_BYTES {
-                        let err = anyhow::anyhow!("event exceeds {MAX_EVENT_BYTES} bytes");
-                        return Err(StreamError::Connection(err));
-                    }
+                    let wait_until = self.memory_deadline();
+                    self.buffer
+                        .append(&self.hold, &data, MAX_EVENT_BYTES, wait_until)
+                        .await
+                        .map_err(StreamError::OutOfMemory)?;
                 }
             }
         }
@@ -190,46 +211,96 @@
         &self.exchange.in_flight
     }
 
-    fn take_complete_events(&mut self, after: Option<u64>) -> Option<EventBatch> {
+    /// Returns the events that are complete; moves comments out of the buffer.
+    async fn take_complete_events(
+        &mut self,
+        after: Option<u64>,
+    ) -> Result<Option<EventBatch>, MemoryError> {
         let mut bytes = BytesMut::new();
         let mut last_event_id = None;
-        while let Some(end) = event_end(&self.buffer) {
-            let event = self.buffer.split_to(end);
-            if is_comment(&event) {
-                self.comments.extend_from_slice(&event);
+        let mut taken = 0;
+        while let Some(end) = self.search.next_end(self.buffer.as_slice()) {
+            let event = &self.buffer.as_slice()[taken..end];
+            taken = end;
+            if is_comment(event) {
+                let wait_until = self.memory_deadline();
+                self.comments
+                    .append(&self.hold, event, MAX_EVENT_BYTES, wait_until)
+                    .await?;
                 continue;
             }
-            let id = event_id(&event);
+            let id = event_id(event);
             let already_forwarded = id.is_some() && id <= after;
             if !already_forwarded {
-                bytes.extend_from_slice(&self.comments.split());
-                bytes.extend_from_slice(&event);
+                bytes.extend_from_slice(self.comments.as_slice());
+                let length = self.comments.as_slice().len();
+                self.comments.remove_first(&self.hold, length);
+                bytes.extend_from_slice(event);
                 last_event_id = id.or(last_event_id);
             }
         }
+        if taken > 0 {
+            self.buffer.remove_first(&self.hold, taken);
+            self.search.remove_first(taken);
+        }
         let bytes = bytes.freeze();
-        (!bytes.is_empty()).then_some(EventBatch {
+        Ok((!bytes.is_empty()).then_some(EventBatch {
             bytes,
             last_event_id,
-        })
+        }))
     }
-}
 
-/// Returns the index after the first complete event in `buffer`: after its first
-/// empty line.
-fn event_end(buffer: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in buffer.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
+    /// Returns the comments after the last event of a complete body.
+    fn take_rest(&mut self) -> Result<Option<EventBatch>, StreamError> {
+        let unfinished = self.buffer.as_slice().len();
+        if unfinished > 0 {
+            let err = anyhow::anyhow!("stream ended after {unfinished} bytes of an event");
+            return Err(StreamError::Connection(err));
         }
-        let line = &buffer[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
+        let bytes = Bytes::copy_from_slice(self.comments.as_slice());
+        self.comments.remove_first(&self.hold, bytes.len());
+        Ok((!bytes.is_empty()).then_some(EventBatch {
+            bytes,
+            last_event_id: None,
+        }))
+    }
+
+    fn memory_deadline(&self) -> Instant {
+        self.gateway.clock.now() + MAX_MEMORY_WAIT
+    }
+}
+
+/// Search for the ends of events in a buffer that grows. Each byte is looked at once.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventSearch {
+    /// Start of the line that is being searched.
+    line_start: usize,
+    /// Index up to which the buffer was searched.
+    searched: usize,
+}
+
+impl EventSearch {
+    /// Returns the index after the next complete event: after its first empty line.
+    fn next_end(&mut self, buffer: &[u8]) -> Option<usize> {
+        while let Some(byte) = buffer.get(self.searched) {
+            self.searched += 1;
+            if *byte != b'\n' {
+                continue;
+            }
+            let line = &buffer[self.line_start..self.searched - 1];
+            self.line_start = self.searched;
+            if line.is_empty() || line == b"\r" {
+                return Some(self.searched);
+            }
         }
-        line_start = index + 1;
+        None
+    }
+
+    /// Records that the first `length` bytes were removed from the buffer.
+    fn remove_first(&mut self, length: usize) {
+        self.line_start -= length;
+        self.searched -= length;
     }
-    None
 }
 
 /// Whether a block of a stream has only comments and no event.
--- a/crates/daemon/src/gateway/attempt/exchange.rs
+++ b/crates/daemon/src/gateway/attempt/exchange.rs
@@ -131,7 +131,7 @@
                 request,
                 &in_flight,
                 AttemptError::Broken,
-                &err.into(),
+                &err,
             ));
         }
         Ok(Ok(response)) => response,
--- a/crates/daemon/src/gateway/handover/send.rs
+++ b/crates/daemon/src/gateway/handover/send.rs
@@ -93,7 +93,7 @@
         Ok(Ok(response)) => {
             return receive(gateway, request, in_flight, connection, response, sent_at).await;
         }
-        Ok(Err(err)) => (AttemptError::Broken, anyhow::Error::new(err)),
+        Ok(Err(err)) => (AttemptError::Broken, err),
         Err(wait_error) => (AttemptError::NoResponse, anyhow::anyhow!("{wait_error}")),
     };
     // A peer that did not get all of the message has not sent the request on.
--- a/crates/daemon/src/gateway/memory.rs
+++ b/crates/daemon/src/gateway/memory/mod.rs
@@ -3,6 +3,8 @@
 //! The budget decides who gets memory; this module wakes those that wait for room, and those
 //! that are ended to make room.
 
+mod buffer;
+
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -16,6 +18,7 @@
 };
 use tokio::sync::Notify;
 
+pub use buffer::{HeldBody, HeldBuffer};
 pub use cyclamengauge_core::serving::memory::{Holder, MemoryError};
 
 use crate::{gateway::Gateway, telemetry::process_events};
--- a/crates/daemon/src/gateway/request/attempts.rs
+++ b/crates/daemon/src/gateway/request/attempts.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use cyclamengauge_core::{
     clock::Instant,
     ids::{EngineId, InstanceId},
@@ -18,6 +17,7 @@
         Gateway,
         attempt::{self, AttemptError, ClientRequest, Exchange, Outlook, ResponseTimeouts, paths},
         handover::{self, Failure, Origin, Resumed},
+        memory::HeldBody,
         response::GatewayError,
         target_limits, target_notices,
     },
@@ -52,7 +52,7 @@
     /// The instance generates the error response.
     Gateway(GatewayError),
     /// The error response of the last target that returned one is forwarded.
-    TargetResponse(Box<Response<Bytes>>),
+    TargetResponse(Box<Response<HeldBody>>),
 }
 
 /// State of one request over all its attempts.
@@ -81,7 +81,7 @@
     /// Whether a target may have executed the request.
     pub may_have_executed: bool,
     /// Latest error response of a target.
-    error_response: Option<Box<Response<Bytes>>>,
+    error_response: Option<Box<Response<HeldBody>>>,
 }
 
 impl Attempts {
@@ -340,7 +340,7 @@
     }
 
     /// Records that an error response of a target was forwarded.
-    pub fn record_error_response(&self, request: &ClientRequest, response: &Response<Bytes>) {
+    pub fn record_error_response(&self, request: &ClientRequest, response: &Response<HeldBody>) {
         self.gateway
             .crashes
             .borrow_mut()
--- a/crates/daemon/src/gateway/request/relay.rs
+++ b/crates/daemon/src/gateway/request/relay.rs
@@ -156,7 +156,7 @@
             target: exchange.in_flight.target.clone(),
             last_event_id,
         });
-        self.events = EventReader::new(exchange);
+        self.events = EventReader::new(&self.attempts.gateway, &self.request, exchange);
         self.engine_sent_event = false;
         Ok(())
     }
--- a/crates/daemon/src/gateway/request/serve.rs
+++ b/crates/daemon/src/gateway/request/serve.rs
@@ -160,7 +160,7 @@
             }
             continue;
         }
-        let mut events = EventReader::new(exchange);
+        let mut events = EventReader::new(gateway, &request, exchange);
         let response_timeouts =
             ResponseTimeouts::for_first_event(gateway, &request, attempts.outlook(&request));
         let first = events
--- a/crates/daemon/src/gateway/response/heads.rs
+++ b/crates/daemon/src/gateway/response/heads.rs
@@ -5,9 +5,8 @@
     body::BoxBody,
     header::{HeaderName, HeaderValue},
 };
-use bytes::Bytes;
 
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, memory::HeldBody};
 
 /// Headers that apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [&str; 9] = [
@@ -30,7 +29,7 @@
 pub const UNMARKED_END_HEADER: &str = "cyclamengauge-unmarked-end";
 
 /// Forwards a target's response whose body has been read.
-pub fn from_target(response: http::Response<Bytes>) -> Response<BoxBody> {
+pub fn from_target(response: http::Response<HeldBody>) -> Response<BoxBody> {
     let (head, body) = response.into_parts();
     with_head(&head, BoxBody::new(body))
 }
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -1,20 +1,26 @@
 //! HTTP connections to targets, to the store and to peers.
 //!
 //! A connection carries one request at a time and closes on drop, so that a target
-//! detects that its response is no longer needed.
+//! detects that its response is no longer needed. What is read at once is limited, so that
+//! a connection that always has data ready leaves the thread to others.
 
 use std::{
-    cell::Cell,
-    io,
+    cell::{Cell, RefCell},
+    future, io,
     net::SocketAddr,
-    pin::Pin,
+    pin::{Pin, pin},
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     task::{Context as TaskContext, Poll},
     time::Duration,
 };
 
 use anyhow::Context;
 use bytes::Bytes;
+use cyclamengauge_core::serving::framing::Framing;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
@@ -24,14 +30,21 @@
     net::TcpStream,
 };
 
-/// Largest response body that is buffered in memory.
-const MAX_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
+/// Largest response body of the store or of a peer.
+const MAX_TRUSTED_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Largest buffer of a connection, which limits the response head and a single read, in
+/// bytes.
+const MAX_READ_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Bytes from which a connection reads no more before other tasks and connections had
+/// their turn.
+const MAX_TURN_BYTES: u64 = 32 * 1024;
 
 /// An HTTP/1 connection and the task that drives it.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
-    /// Bytes that were handed to the network.
-    written_bytes: Rc<Cell<u64>>,
+    traffic: Rc<Traffic>,
     driver: actix_rt::task::JoinHandle<()>,
 }
 
@@ -50,22 +63,30 @@
         stream
             .set_nodelay(true)
             .with_context(|| format!("set TCP_NODELAY on the connection to {address}"))?;
-        let written_bytes = Rc::<Cell<u64>>::default();
+        let traffic = Rc::<Traffic>::default();
         let stream = CountedStream {
             stream,
-            written_bytes: Rc::clone(&written_bytes),
+            traffic: Rc::clone(&traffic),
         };
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .with_context(|| format!("HTTP handshake with {address}"))?;
+        let driver_traffic = Rc::clone(&traffic);
         let driver = actix_rt::spawn(async move {
-            if let Err(err) = connection.await {
+            let mut connection = pin!(connection);
+            let driven = future::poll_fn(|cx| {
+                driver_traffic.turn_bytes.set(0);
+                connection.as_mut().poll(cx)
+            });
+            if let Err(err) = driven.await {
                 tracing::debug!(%address, %err, "connection: connection to {address} failed: {err}");
             }
         });
         Ok(Self {
             sender,
-            written_bytes,
+            traffic,
             driver,
         })
     }
@@ -74,12 +95,42 @@
     ///
     /// # Errors
     ///
-    /// If the connection breaks or the response is malformed.
+    /// If the connection breaks, or the response is malformed or exceeds a limit.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, hyper::Error> {
-        self.sender.send_request(request).await
+        mut request: Request<Full<Bytes>>,
+    ) -> anyhow::Result<Response<Incoming>> {
+        self.traffic.framing.take();
+        let interim_responses = Arc::clone(&self.traffic.interim_responses);
+        interim_responses.store(0, Ordering::Relaxed);
+        hyper::ext::on_informational(&mut request, move |_| {
+            interim_responses.fetch_add(1, Ordering::Relaxed);
+        });
+        let response = self.sender.send_request(request).await;
+        let response = response.map_err(|err| match err.is_parse_too_large() {
+            true => anyhow::Error::new(err).context(format!(
+                "response head exceeds {MAX_READ_BUFFER_BYTES} bytes or 100 fields"
+            )),
+            false => err.into(),
+        })?;
+        self.traffic.framing.borrow_mut().begin_body();
+        Ok(response)
+    }
+
+    /// Returns the next bytes of the body of the response; none at its end.
+    ///
+    /// # Errors
+    ///
+    /// If the connection breaks, or the body is malformed or has too much framing.
+    pub async fn next_data(&self, body: &mut Incoming) -> anyhow::Result<Option<Bytes>> {
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame.context("read the response body")?.into_data() {
+                let mut framing = self.traffic.framing.borrow_mut();
+                framing.record_payload(data.len() as u64);
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
     }
 
     /// Sends a request and waits for the complete response.
@@ -90,13 +141,22 @@
     /// large.
     pub async fn call(&mut self, request: Request<Full<Bytes>>) -> anyhow::Result<Response<Bytes>> {
         let response = self.send(request).await?;
-        collect(response).await
+        let (head, mut body) = response.into_parts();
+        let mut bytes = Vec::new();
+        while let Some(data) = self.next_data(&mut body).await? {
+            anyhow::ensure!(
+                bytes.len() + data.len() <= MAX_TRUSTED_BODY_BYTES,
+                "response body exceeds {MAX_TRUSTED_BODY_BYTES} bytes"
+            );
+            bytes.extend_from_slice(&data);
+        }
+        Ok(Response::from_parts(head, Bytes::from(bytes)))
     }
 
     /// Bytes that were handed to the network so far. A request of more bytes has not arrived
     /// whole.
     pub fn written_bytes(&self) -> u64 {
-        self.written_bytes.get()
+        self.traffic.written_bytes.get()
     }
 
     /// Whether the connection can carry another request.
@@ -105,17 +165,30 @@
     }
 }
 
-/// A stream that counts the bytes written to it.
+/// Bytes of a connection.
+#[derive(Default)]
+struct Traffic {
+    /// Bytes that were handed to the network.
+    written_bytes: Cell<u64>,
+    /// Bytes read in the current turn of the connection's task.
+    turn_bytes: Cell<u64>,
+    /// Bytes read for the current response.
+    framing: RefCell<Framing>,
+    /// Interim responses before the current response.
+    interim_responses: Arc<AtomicU32>,
+}
+
+/// A stream that counts its bytes, and reads a limited number of them in a turn.
 struct CountedStream {
     stream: TcpStream,
-    written_bytes: Rc<Cell<u64>>,
+    traffic: Rc<Traffic>,
 }
 
 impl CountedStream {
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(length)) = written {
-            let count = self.written_bytes.get() + length as u64;
-            self.written_bytes.set(count);
+            let count = self.traffic.written_bytes.get() + length as u64;
+            self.traffic.written_bytes.set(count);
         }
         written
     }
@@ -127,7 +200,24 @@
         cx: &mut TaskContext<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let traffic = Rc::clone(&self.traffic);
+        let mut framing = traffic.framing.borrow_mut();
+        framing.set_interim_responses(traffic.interim_responses.load(Ordering::Relaxed));
+        if let Err(err) = framing.check() {
+            return Poll::Ready(Err(io::Error::other(err)));
+        }
+        if traffic.turn_bytes.get() >= MAX_TURN_BYTES {
+            // The task is polled again after other tasks and connections. A plain wake-up
+            // would poll it again before the runtime looks for events of other sockets.
+            let _ = pin!(tokio::task::yield_now()).poll(cx);
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let length = (buf.filled().len() - before) as u64;
+        framing.record_received(length);
+        traffic.turn_bytes.set(traffic.turn_bytes.get() + length);
+        read
     }
 }
 
@@ -168,18 +258,3 @@
         self.driver.abort();
     }
 }
-
-/// Reads the body of a response into memory.
-///
-/// # Errors
-///
-/// If the body is incomplete or larger than `MAX_BUFFERED_BYTES`.
-pub async fn collect(response: Response<Incoming>) -> anyhow::Result<Response<Bytes>> {
-    let (head, body) = response.into_parts();
-    let limited = http_body_util::Limited::new(body, MAX_BUFFERED_BYTES);
-    let collected = limited.collect().await;
-    let body = collected
-        .map_err(|err| anyhow::anyhow!(err).context("read the response body"))?
-        .to_bytes();
-    Ok(Response::from_parts(head, body))
-}
