attempt: only a status from 200 to 599 is an answer

Change: any other status is a fault of the target: 502, or another target where the request may be repeated.

--- a/crates/daemon/src/gateway/attempt/check.rs
+++ b/crates/daemon/src/gateway/attempt/check.rs
@@ -1,6 +1,6 @@
 //! Checks the head of a response before it is used.
 
-use std::rc::Rc;
+use std::{ops::RangeInclusive, rc::Rc};
 
 use cyclamengauge_core::serving::targets::Outcome;
 use cyclamengauge_platform::headers;
@@ -18,11 +18,14 @@
     telemetry::process_events,
 };
 
+/// Status codes that end an exchange. The request asks for no switch of protocols.
+const FINAL_STATUS_CODES: RangeInclusive<u16> = 200..=599;
+
 /// Returns the exchange if its response belongs to the request and can be forwarded.
 ///
 /// # Errors
 ///
-/// If the response has another request id, lacks a signature or is encoded, or if the
+/// If the response has no final status, has another request id, lacks a signature or is encoded, or if the
 /// target refused the request or returned a server error.
 pub async fn check(
     gateway: &Rc<Gateway>,
@@ -34,6 +37,21 @@
     let response_id = map.get(headers::REQUEST_ID);
     let has_other_id = response_id.is_some_and(|id| id.as_bytes() != request.id.as_bytes());
     let has_no_signature = status.is_success() && !map.contains_key(headers::SIGNATURE);
+    if !is_final_status(status) {
+        exchange.in_flight.set_outcome(Outcome::Failed);
+        let err = anyhow::anyhow!(
+            "invalid response: status {status} is not a final one from {} to {}",
+            FINAL_STATUS_CODES.start(),
+            FINAL_STATUS_CODES.end()
+        );
+        return Err(log_failure(
+            gateway,
+            request,
+            &exchange.in_flight,
+            AttemptError::Broken,
+            &err,
+        ));
+    }
     if has_other_id || has_no_signature || map.contains_key(CONTENT_ENCODING) {
         exchange.in_flight.set_outcome(Outcome::Failed);
         let err = anyhow::anyhow!(
@@ -65,6 +83,10 @@
     Ok(exchange)
 }
 
+fn is_final_status(status: StatusCode) -> bool {
+    FINAL_STATUS_CODES.contains(&status.as_u16())
+}
+
 /// Records the outcome of a refused request for the target, or for the helper that
 /// caused the refusal.
 fn record_refusal(
