Pass configurations on as changes, in parts, from any instance that has them

Each instance fetched each version whole from one of two watchers of its data centre.

Watchers are those with the widest links (gossip field 31) and pause between reads of large versions. A connection that is slow while a large body fills the own link is no sign of a cut, for at most a second. Older builds (no gossip field 32) are served and asked as before.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -8,6 +8,7 @@
 - [`peers`] tracks the other instances;
 - [`reachability`] tells an instance that is cut off from targets that are down;
 - [`store_calls`] times the calls that watch the platform's tables;
+- [`configuration_spread`] passes new configurations on from instance to instance;
 - [`watchers`] picks the instances that watch the platform's tables;
 - [`target_list`] keeps the target list for peers that fetch it;
 - [`dissemination`] schedules the reports of loads to them;
@@ -20,6 +21,7 @@
 - [`prompt_parts`] finds the parts of prompts that crash engines.
 */
 
+pub mod configuration_spread;
 pub mod cost;
 pub mod crashes;
 pub mod dissemination;
--- a/crates/core/src/serving/reachability/mod.rs
+++ b/crates/core/src/serving/reachability/mod.rs
@@ -11,6 +11,7 @@
 //!
 //! Only the opening of connections counts, as open ones may outlive a cut.
 
+pub mod own_link;
 mod peers;
 
 use std::{
--- a/crates/core/src/serving/watchers.rs
+++ b/crates/core/src/serving/watchers.rs
@@ -3,11 +3,13 @@
 //! If every instance watched the configuration and the target list, the calls to the
 //! platform's store and the bytes read from it would grow with the instances times the
 //! targets. A few instances of each data centre watch the tables, and the others fetch
-//! changes from their peers. Each instance picks the watchers by itself, by a hash of
-//! the live instances; two views that differ for a moment give a watcher too many. An
+//! changes from their peers. Each instance picks the watchers by itself: those with the
+//! widest links, as a large configuration fills a thin one, and among equal ones by a hash
+//! of the live instances. While some instances don't report their links, as in a fleet with
+//! older builds, only the hash counts. Two views that differ for a moment give a watcher too many. An
 //! instance that hears of too few watchers watches the tables itself.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use crate::{
     clock::Instant,
@@ -42,16 +44,37 @@
 struct Peer {
     data_centre: DataCentreId,
     state: WatchState,
+    link: Option<LinkMbps>,
     received_at: Instant,
 }
 
+/// Bandwidth of a link in whole Mbit/s.
+type LinkMbps = u32;
+
 /// The watch states of the peers.
 #[derive(Clone, Debug, Default)]
 pub struct Watchers {
     peers: BTreeMap<InstanceId, Peer>,
+    own_link: Option<LinkMbps>,
 }
 
 impl Watchers {
+    /// No peers yet, for an instance with a link of `own_link_mbps`.
+    pub fn new(own_link_mbps: Option<u32>) -> Self {
+        Self {
+            peers: BTreeMap::new(),
+            own_link: own_link_mbps,
+        }
+    }
+
+    /// Records the bandwidth of a peer's link. A report without it, as passed on by an older
+    /// build, changes nothing.
+    pub fn record_link(&mut self, peer: &InstanceId, link_mbps: Option<u32>) {
+        if let Some(known) = self.peers.get_mut(peer) {
+            known.link = link_mbps.or(known.link);
+        }
+    }
+
     /// Records the state that a peer reports.
     pub fn record(
         &mut self,
@@ -61,9 +84,11 @@
         now: Instant,
     ) {
         let received_at = now;
+        let link = self.peers.get(&peer).and_then(|known| known.link);
         let peer_state = Peer {
             data_centre,
             state,
+            link,
             received_at,
         };
         if self.peers.insert(peer, peer_state).is_none() {
@@ -83,10 +108,15 @@
         if watching.count() < MIN_WATCHING_PEERS {
             return true;
         }
-        let before_own = live().filter(|(instance, peer)| {
-            &peer.data_centre == data_centre
-                && peer.state != WatchState::Failing
-                && rank(instance) < rank(own)
+        let local = || live().filter(|(_, peer)| &peer.data_centre == data_centre);
+        let all_links_known = local().all(|(_, peer)| peer.link.is_some());
+        let rank = |instance, link: Option<LinkMbps>| {
+            let link = link.filter(|_| all_links_known);
+            (Reverse(link), hash_rank(instance))
+        };
+        let own_rank = rank(own, self.own_link);
+        let before_own = local().filter(|(instance, peer)| {
+            peer.state != WatchState::Failing && rank(instance, peer.link) < own_rank
         });
         before_own.count() < WATCHERS_PER_DATA_CENTRE
     }
@@ -103,9 +133,8 @@
     }
 }
 
-/// Order of the instances; the first ones of a data centre watch the tables. The id
-/// breaks ties.
-fn rank(instance: &InstanceId) -> (u64, &str) {
+/// Order of instances with equal links. The id breaks ties.
+fn hash_rank(instance: &InstanceId) -> (u64, &str) {
     let digest = hash::fmix64(hash::fnv1a(instance.as_str()));
     (digest, instance.as_str())
 }
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -17,6 +17,9 @@
 
     /// Rate of requests to a target.
     pub struct RequestsPerSecond(f64) in "requests/s";
+
+    /// Bandwidth of a network link.
+    pub struct MegabitsPerSecond(f64) in "Mbit/s";
 }
 
 impl Eq for Tokens {}
@@ -83,3 +86,15 @@
         Duration::from_secs_f64(tokens.0 as f64 / self.0.max(1.0))
     }
 }
+
+impl MegabitsPerSecond {
+    /// The bandwidth in whole Mbit/s.
+    pub fn rounded(self) -> u32 {
+        self.0.round() as u32
+    }
+
+    /// Time to carry `bytes` at this rate. A rate below 0.001 Mbit/s counts as that.
+    pub fn time_for(self, bytes: usize) -> Duration {
+        Duration::from_secs_f64(bytes as f64 * 8.0 / 1e6 / self.0.max(1e-3))
+    }
+}
--- a/crates/core/tests/serving/watchers.rs
+++ b/crates/core/tests/serving/watchers.rs
@@ -154,3 +154,47 @@
     }
     assert_eq!(fleet.watching(5_000).len(), 10);
 }
+
+/// Two views of one data centre with links of 14 and 200 Mbit/s: that of every instance on
+/// whether it must watch.
+fn watchers_by_link(links_mbps: &[Option<u32>]) -> Vec<usize> {
+    let data_centre = DataCentreId::new("dc");
+    let must_watch = |own: usize| {
+        let mut view = Watchers::new(links_mbps[own]);
+        for (number, link_mbps) in links_mbps.iter().enumerate() {
+            if number != own {
+                let peer = Fleet::instance(number);
+                let state = WatchState::Watching;
+                view.record(peer.clone(), data_centre.clone(), state, ms(0));
+                view.record_link(&peer, *link_mbps);
+                // A message that an older build has passed on lacks the link.
+                view.record_link(&peer, None);
+            }
+        }
+        view.must_watch(&Fleet::instance(own), &data_centre, ms(100))
+    };
+    (0..links_mbps.len())
+        .filter(|own| must_watch(*own))
+        .collect()
+}
+
+/// Load: large configurations, which take long on a thin link to the store.
+#[test]
+fn instances_with_the_widest_links_watch() {
+    let mut links_mbps = vec![Some(14); 40];
+    (links_mbps[7], links_mbps[31]) = (Some(200), Some(200));
+    assert_eq!(watchers_by_link(&links_mbps), [7, 31]);
+    links_mbps[12] = Some(200);
+    assert_eq!(watchers_by_link(&links_mbps).len(), 2);
+}
+
+/// Guards against instances of two builds that each take others for the watchers.
+#[test]
+fn links_do_not_count_while_an_older_build_runs() {
+    let by_hash = watchers_by_link(&[None; 40]);
+    assert_eq!(by_hash.len(), 2);
+    let mut links_mbps = vec![Some(14); 40];
+    (links_mbps[7], links_mbps[31], links_mbps[20]) = (Some(200), Some(200), None);
+    let seen = watchers_by_link(&links_mbps);
+    assert!(by_hash.iter().all(|watcher| seen.contains(watcher)));
+}
--- a/crates/daemon/src/gateway/attempt/paths.rs
+++ b/crates/daemon/src/gateway/attempt/paths.rs
@@ -196,7 +196,8 @@
     let result = if is_connected { "open" } else { "failed" };
     metrics::counter!("cyclamengauge_path_probes_total", "result" => result).increment(1);
     let state = gateway.reachability.borrow().state(&target.service);
-    if !is_connected && state == PathState::Open {
+    let is_explained = gateway.own_link.explains(started_at);
+    if !is_connected && !is_explained && state == PathState::Open {
         // Other targets answer, so this one is at fault.
         let now = gateway.clock.now();
         let mut targets = gateway.targets.borrow_mut();
@@ -206,6 +207,9 @@
 }
 
 fn record_slow(gateway: &Gateway, service: &ServiceId, started_at: Instant) {
+    if gateway.own_link.explains(started_at) {
+        return;
+    }
     let now = gateway.clock.now();
     let mut reachability = gateway.reachability.borrow_mut();
     reachability.record_slow(service, started_at, now);
@@ -219,6 +223,9 @@
     started_at: Instant,
     is_connected: bool,
 ) {
+    if !is_connected && gateway.own_link.explains(started_at) {
+        return;
+    }
     let now = gateway.clock.now();
     let TargetAddress {
         service,
--- a/crates/daemon/src/gateway/attempt/timeouts.rs
+++ b/crates/daemon/src/gateway/attempt/timeouts.rs
@@ -260,8 +260,9 @@
 /// Whether a target accepts connections, as far as this can be told: if open connections
 /// outlive a cut of the path, new ones say nothing of the target.
 async fn accepts_connections(gateway: &Rc<Gateway>, target: &TargetAddress) -> bool {
+    let started_at = gateway.clock.now();
     let connected = paths::connect(gateway, target, PROBE_CONNECT_TIMEOUT).await;
-    connected.is_ok() || {
+    connected.is_ok() || gateway.own_link.explains(started_at) || {
         let reachability = gateway.reachability.borrow();
         reachability.state(&target.service) == PathState::CutOff
             && !reachability.hangs(&target.service)
--- a/crates/daemon/src/gateway/gossip/fetch.rs
+++ b/crates/daemon/src/gateway/gossip/fetch.rs
@@ -1,11 +1,10 @@
-//! Fetches of the configuration and the target list from a peer, for an instance that
-//! does not watch the platform's tables or whose calls to the store fail.
+//! Fetches of the target list from a peer, for an instance that does not watch the
+//! platform's tables or whose calls to the store fail.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{Request as ServerRequest, Response as ServerResponse, body::BoxBody};
 use anyhow::Context;
-use bytes::Bytes;
 use cyclamengauge_core::{
     clock::Instant,
     serving::{
@@ -14,19 +13,18 @@
     },
 };
 use cyclamengauge_schema::v1;
-use http::Request;
-use http_body_util::Full;
 use prost::Message;
 
 use crate::{
-    gateway::{Gateway, TableWatch, handover, request, upstream::Connection, watch},
+    gateway::{
+        Gateway, TableWatch,
+        gossip::{calls::PeerConnection, configuration},
+        handover, request, watch,
+    },
     http as server,
     telemetry::process_events,
 };
 
-/// Time for a fetch, and within it for connecting to the peer.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Delay of a fetch from a peer in the same data centre. Several changes in a row are
 /// fetched at once.
 const LOCAL_FETCH_DELAY: Duration = Duration::from_millis(10);
@@ -35,22 +33,22 @@
 /// the table itself: a local peer or the store usually delivers the change first.
 const LATE_FETCH_DELAY: Duration = Duration::from_millis(250);
 
-/// Path of this instance's configuration, for peers.
-const CONFIGURATION_PATH: &str = "/configuration";
-
 /// Path of this instance's target list, for peers. The query is the version that the
 /// peer has.
 const TARGETS_PATH: &str = "/targets";
 
-/// The fetches that are scheduled or in progress. There is at most one from local and
-/// one from other peers, so that a slow peer elsewhere delays no local fetch.
+/// The fetches that are scheduled or in progress. Of the target list there is at most one
+/// from local and one from other peers, so that a slow peer elsewhere delays no local
+/// fetch.
 #[derive(Debug, Default)]
 pub struct FetchesInProgress {
     local: Cell<bool>,
     remote: Cell<bool>,
+    /// Of the configuration.
+    pub(super) configuration: Cell<bool>,
 }
 
-/// A peer and the versions that it has, from its gossip message.
+/// A peer and its target list, from its gossip message.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Peer {
     /// Address at which it listens for its peers.
@@ -58,15 +56,10 @@
     /// Whether it runs in the data centre of this instance.
     pub(super) is_local: bool,
     pub(super) watch_state: WatchState,
-    pub(super) configuration_version: u64,
     pub(super) list_version: ListVersion,
 }
 
 impl Peer {
-    fn has_newer_configuration(&self, gateway: &Gateway) -> bool {
-        self.configuration_version > gateway.configuration_version()
-    }
-
     /// Whether the target list should be fetched from the peer: the peer has a newer
     /// one, and this instance does not get it from the store.
     fn is_target_list_needed(&self, gateway: &Gateway) -> bool {
@@ -88,28 +81,25 @@
     }
 }
 
-/// Fetches a newer configuration or target list from a peer after a delay, unless it
-/// has arrived otherwise by then or such a fetch is in progress.
+/// Fetches a newer target list from a peer after a delay, unless it has arrived otherwise
+/// by then or such a fetch is in progress.
 pub(super) fn schedule_fetch(gateway: &Rc<Gateway>, peer: Peer) {
-    let fetch_needed = peer.has_newer_configuration(gateway) || peer.is_target_list_needed(gateway);
-    if !fetch_needed || in_progress(gateway, peer).replace(true) {
+    if !peer.is_target_list_needed(gateway) || in_progress(gateway, peer).replace(true) {
         return;
     }
     let delay = peer.fetch_delay(gateway);
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
         actix_rt::time::sleep(delay).await;
-        let source = peer.address.to_string();
-        if peer.has_newer_configuration(&gateway) {
-            match fetch(peer.address, CONFIGURATION_PATH).await {
-                Ok(stored) => gateway.apply_configuration(stored, &source),
-                Err(err) => log_fetch_failure(peer.address, "configuration", err),
-            }
-        }
         if peer.is_target_list_needed(&gateway) {
             match fetch_target_list(&gateway, peer.address).await {
-                Ok(changes) => watch::apply_target_list(&gateway, changes, &source),
-                Err(err) => log_fetch_failure(peer.address, "target list", err),
+                Ok(changes) => {
+                    watch::apply_target_list(&gateway, changes, &peer.address.to_string());
+                }
+                Err(err) => {
+                    let err = err.context("fetch target list");
+                    process_events::log_peer_faulty(&peer.address.to_string(), &err);
+                }
             }
         }
         in_progress(&gateway, peer).set(false);
@@ -123,15 +113,11 @@
     }
 }
 
-fn log_fetch_failure(peer: SocketAddr, resource: &str, err: anyhow::Error) {
-    let err = err.context(format!("fetch {resource}"));
-    process_events::log_peer_faulty(&peer.to_string(), &err);
-}
-
 /// Fetches the changes of the target list after the version known here.
-async fn fetch_target_list(gateway: &Gateway, peer: SocketAddr) -> anyhow::Result<ListChanges> {
+async fn fetch_target_list(gateway: &Rc<Gateway>, peer: SocketAddr) -> anyhow::Result<ListChanges> {
     let since = gateway.target_list.borrow().version();
-    let body = fetch(peer, &format!("{TARGETS_PATH}?{since}")).await?;
+    let mut connection = PeerConnection::open(gateway, peer).await?;
+    let body = connection.get(&format!("{TARGETS_PATH}?{since}")).await?;
     let list = v1::TargetList::decode(body).context("decode the response")?;
     if let Some(age_ms) = list.store_failure_age_ms {
         // Targets that the list lacks may be missing only because of this failure.
@@ -168,35 +154,16 @@
     }
 }
 
-async fn fetch(peer: SocketAddr, path: &str) -> anyhow::Result<Bytes> {
-    let response = actix_rt::time::timeout(FETCH_TIMEOUT, call_peer(peer, path));
-    response
-        .await
-        .with_context(|| format!("no response within {FETCH_TIMEOUT:?}"))?
-}
-
-async fn call_peer(peer: SocketAddr, path: &str) -> anyhow::Result<Bytes> {
-    let mut connection = Connection::open(peer, FETCH_TIMEOUT).await?;
-    let request = Request::get(path)
-        .header(http::header::HOST, peer.to_string())
-        .body(Full::new(Bytes::new()))
-        .context("build the request")?;
-    let response = connection.call(request).await?;
-    anyhow::ensure!(
-        response.status().is_success(),
-        "response status {}",
-        response.status()
-    );
-    Ok(response.into_body())
-}
-
 /// Handles a peer's fetch of the configuration or the target list, whose status is 404
 /// while this instance has none, or a request that the peer hands over.
 pub async fn handle_call(gateway: Rc<Gateway>, request: ServerRequest) -> ServerResponse<BoxBody> {
-    let stored = gateway.stored_configuration.borrow().clone();
     match request.path() {
         handover::PATH => request::handle_peer(gateway, request).await,
-        CONFIGURATION_PATH if !stored.is_empty() => server::json(200, stored),
+        configuration::WHOLE_PATH => configuration::serve_whole(&gateway),
+        configuration::PART_PATH => {
+            let query = request.uri().query().unwrap_or_default();
+            configuration::serve_part(gateway, query).await
+        }
         TARGETS_PATH if gateway.target_list_loaded.get() => {
             let since = request.uri().query().and_then(|query| query.parse().ok());
             let since: Option<ListVersion> = since;
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -16,7 +16,7 @@
         watchers::WatchState,
     },
     text::SmolStr,
-    units::{RequestsPerSecond, Tokens},
+    units::{MegabitsPerSecond, RequestsPerSecond, Tokens},
 };
 use cyclamengauge_schema::v1;
 
@@ -95,6 +95,8 @@
         paths: paths.iter().map(encode_path).collect(),
         requests_in_progress: gateway.requests_in_progress.get() as u32,
         takes_requests: gateway.takes_requests(),
+        link_mbps: settings.link.map(MegabitsPerSecond::rounded),
+        serves_configuration_parts: true,
     }
 }
 
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -7,6 +7,8 @@
 //! configuration or target list, this instance fetches it from the peer, unless it
 //! watches the platform's tables itself.
 
+mod calls;
+mod configuration;
 mod fetch;
 mod messages;
 
@@ -19,6 +21,7 @@
     ids::{DataCentreId, EngineId, InstanceId},
     request::Fingerprint,
     serving::{
+        configuration_spread::sources::Source,
         dissemination::DueMessage,
         peers::{MessageNumber, Reception, Recipient, Sender},
         targets::{limits::LimitReport, notices::TargetProcess},
@@ -241,11 +244,19 @@
         gateway.record_store_era(StoreEra(gossip.list_era));
     }
     let watch_state = record_watch_state(gateway, &instance, gossip, now);
+    let is_local = gossip.data_centre == gateway.settings.borrow().data_centre.as_str();
+    let source = Source {
+        instance,
+        address,
+        is_local,
+        serves_parts: gossip.serves_configuration_parts,
+        version: gossip.configuration_version,
+    };
+    configuration::record_source(gateway, source);
     let peer = fetch::Peer {
         address,
-        is_local: gossip.data_centre == gateway.settings.borrow().data_centre.as_str(),
+        is_local,
         watch_state,
-        configuration_version: gossip.configuration_version,
         list_version: messages::decode_list_version(gossip),
     };
     fetch::schedule_fetch(gateway, peer);
@@ -288,6 +299,7 @@
     let data_centre = DataCentreId::new(&gossip.data_centre);
     let mut watchers = gateway.watchers.borrow_mut();
     watchers.record(instance.clone(), data_centre, state, now);
+    watchers.record_link(instance, gossip.link_mbps);
     let is_up_to_date = gossip.configuration_version <= gateway.configuration_version()
         && messages::decode_list_version(gossip) <= gateway.target_list.borrow().version();
     if let Some(age_ms) = gossip.store_success_age_ms
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod gossip;
 mod handover;
 pub mod memory;
+mod own_link;
 mod peer_keys;
 mod refused_parts;
 mod request;
@@ -46,11 +47,16 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use cyclamengauge_core::{
     clock::Instant,
     ids::{EngineId, PromptPartId, ServiceId},
     serving::{
+        configuration_spread::{
+            offers::Offers,
+            pacing::{self, Pacer},
+            sources::Sources,
+            versions::Versions,
+        },
         crashes::Crashes,
         dissemination::Schedule,
         handover::TakenOver,
@@ -65,6 +71,7 @@
         targets::Targets,
         watchers::Watchers,
     },
+    units::MegabitsPerSecond,
 };
 use cyclamengauge_platform::{configuration, settings, store::StoreEra};
 use tokio::sync::Notify;
@@ -73,6 +80,7 @@
 pub use run::{Listeners, run, shut_down, start};
 
 use crate::{
+    gateway::own_link::OwnLinkUse,
     http::Connections,
     node::Clock,
     telemetry::{process_events, trace::RequestLog},
@@ -82,6 +90,13 @@
 /// configurations, after which this instance may have missed a change.
 const STALE_CONFIGURATION_MARGIN: Duration = Duration::from_millis(2_500);
 
+/// Time until the next configuration is read or fetched, in times that the latest one took
+/// to decode: a quick series then takes a bounded share of the processor.
+const APPLY_PAUSE_FACTOR: u32 = 3;
+
+/// Largest such time, as a share of the time in which a configuration must be in force.
+const MAX_DEFERRAL_SHARE: f64 = 0.2;
+
 /// Share of the time from SIGTERM to SIGKILL in which the instance still accepts
 /// requests on open connections. The rest is for their responses.
 const ACCEPTING_SHUTDOWN_SHARE: f64 = 0.3;
@@ -116,8 +131,18 @@
     route_table: RefCell<Option<Rc<RouteTable>>>,
     /// Time at which the configuration in force was applied.
     configuration_applied_at: Cell<Instant>,
-    /// The configuration in force, encoded as in the store, for peers.
-    stored_configuration: RefCell<Bytes>,
+    /// The configuration in force and earlier ones, encoded as in the store, for peers.
+    configuration_versions: RefCell<Versions>,
+    /// Peers with their versions of the configuration.
+    configuration_sources: RefCell<Sources>,
+    /// Transfers of the configuration to peers.
+    configuration_offers: RefCell<Offers>,
+    /// Time before which no further configuration is read or fetched, so that neither the
+    /// link nor the processor is taken up by a quick series of versions.
+    next_configuration_at: Cell<Instant>,
+    /// Bytes of configurations from the store and from peers.
+    configuration_pacer: Cell<Pacer>,
+    own_link: Rc<OwnLinkUse>,
     /// The target list as stored, for peers.
     target_list: RefCell<TargetList>,
     target_list_watch: Cell<TableWatch>,
@@ -194,6 +219,8 @@
         let retry_budget = RetryBudget::new(retry_limits(&settings));
         let clock = Clock::start_with_past(REPORTED_PAST);
         let started_at = clock.now();
+        let own_link_mbps = settings.link.map(MegabitsPerSecond::rounded);
+        let link = settings.link.unwrap_or(pacing::DEFAULT_LINK);
         let mut peers = Peers::default();
         for seed in &settings.seeds {
             peers.add_address(*seed, started_at);
@@ -205,10 +232,15 @@
             incarnation,
             route_table: RefCell::default(),
             configuration_applied_at: Cell::new(started_at),
-            stored_configuration: RefCell::default(),
+            configuration_versions: RefCell::default(),
+            configuration_sources: RefCell::default(),
+            configuration_offers: RefCell::new(Offers::new(link)),
+            next_configuration_at: Cell::new(started_at),
+            configuration_pacer: Cell::new(Pacer::new(link)),
+            own_link: Rc::new(OwnLinkUse::new(clock)),
             target_list: RefCell::default(),
             target_list_watch: Cell::default(),
-            watchers: RefCell::default(),
+            watchers: RefCell::new(Watchers::new(own_link_mbps)),
             targets: RefCell::default(),
             reachability: RefCell::default(),
             taken_over: RefCell::default(),
@@ -266,7 +298,15 @@
     }
 
     /// Applies an encoded configuration if it is newer than the one in force.
-    fn apply_configuration(&self, stored: Bytes, source: &str) {
+    fn apply_configuration(&self, stored: Rc<[u8]>, source: &str) {
+        let started_at = self.clock.now();
+        let is_in_force = {
+            let versions = self.configuration_versions.borrow();
+            versions.get(versions.current()) == Some(&stored)
+        };
+        if is_in_force {
+            return;
+        }
         let decoded = match configuration::decode(&stored) {
             Ok(decoded) => decoded,
             Err(err) => {
@@ -279,12 +319,47 @@
             return;
         }
         *self.route_table.borrow_mut() = Some(Rc::new(RouteTable::new(decoded)));
-        *self.stored_configuration.borrow_mut() = stored;
-        self.report_progress();
-        self.configuration_applied_at.set(self.clock.now());
+        let now = self.clock.now();
+        self.configuration_versions
+            .borrow_mut()
+            .push(version, stored, now);
+        self.configuration_sources.borrow_mut().record_applied();
+        match current_version {
+            // No peer has been heard yet that could be told.
+            0 => self.report_progress(),
+            // Peers fetch it from whoever has it.
+            _ => self.report_placement(),
+        }
+        self.configuration_applied_at.set(now);
+        let pause = (now - started_at) * APPLY_PAUSE_FACTOR;
+        self.defer_configuration(now + pause);
         process_events::log_configuration(version, current_version, source);
     }
 
+    /// Records bytes of a configuration from the store or a peer; the next ones follow
+    /// when the link has room for them.
+    fn record_configuration_bytes(&self, bytes: usize) {
+        let now = self.clock.now();
+        let mut pacer = self.configuration_pacer.get();
+        pacer.record(bytes, now);
+        self.configuration_pacer.set(pacer);
+        self.defer_configuration(now + pacer.wait(now));
+    }
+
+    /// Reads and fetches no further configuration before `until`, within a part of the
+    /// time in which one must be in force.
+    fn defer_configuration(&self, until: Instant) {
+        let limit = self.settings.borrow().bounds.configuration_apply_limit;
+        let latest = self.clock.now() + limit.mul_f64(MAX_DEFERRAL_SHARE);
+        let until = until.max(self.next_configuration_at.get()).min(latest);
+        self.next_configuration_at.set(until);
+    }
+
+    /// Waits until a further configuration may be read or fetched.
+    async fn wait_for_configuration_room(&self) {
+        actix_rt::time::sleep(self.clock.until(self.next_configuration_at.get())).await;
+    }
+
     /// Whether a change of the configuration may be missing: its watch fails, or
     /// the store did not respond for too long.
     fn is_configuration_stale(&self) -> bool {
--- a/crates/daemon/src/gateway/peer_keys.rs
+++ b/crates/daemon/src/gateway/peer_keys.rs
@@ -57,7 +57,7 @@
 /// Reads the key at the start of the process and creates it if there is none; again
 /// whenever the store has come back from an older copy. Failed calls are retried.
 pub async fn keep_loaded(gateway: Rc<Gateway>) {
-    let mut client = StoreClient::new(gateway.settings.borrow().store_address);
+    let mut client = StoreClient::new(&gateway);
     let mut calls = StoreCalls::default();
     loop {
         match read(&mut client).await {
--- a/crates/daemon/src/gateway/refused_parts.rs
+++ b/crates/daemon/src/gateway/refused_parts.rs
@@ -44,7 +44,7 @@
 /// Reads the rows and refuses their parts. Returns the era of the store and the parts that
 /// its rows refuse. Failed calls are retried.
 async fn load(gateway: &Rc<Gateway>) -> (store::StoreEra, BTreeSet<PromptPartId>) {
-    let mut client = StoreClient::new(gateway.settings.borrow().store_address);
+    let mut client = StoreClient::new(gateway);
     let mut calls = StoreCalls::default();
     let mut rows_read = None;
     loop {
@@ -121,7 +121,7 @@
     let gateway = Rc::clone(gateway);
     let (key, value) = discovery::refused_part_row(&part, refused_at_unix_ms);
     actix_rt::spawn(async move {
-        let mut client = StoreClient::new(gateway.settings.borrow().store_address);
+        let mut client = StoreClient::new(&gateway);
         let mut calls = StoreCalls::default();
         for _ in 0..MAX_WRITE_CALLS {
             let body = store::put_body(store::Table::RefusedParts, &key, &value);
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's store over one connection, which is reopened after a
 //! failure.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -10,7 +10,7 @@
 use http::{Method, Request, Response};
 use http_body_util::Full;
 
-use crate::gateway::upstream::Connection;
+use crate::gateway::{Gateway, own_link::OwnLinkUse, upstream::Connection};
 
 /// Time for connecting to the store: far above the round-trip time to the store,
 /// far below the apply limit of configurations.
@@ -27,16 +27,18 @@
 pub struct StoreClient {
     address: SocketAddr,
     connection: Option<Connection>,
+    own_link: Rc<OwnLinkUse>,
     /// Era of the store in its latest response; none before the first one.
     era: Option<store::StoreEra>,
 }
 
 impl StoreClient {
     /// Creates a client; the first call opens the connection.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(gateway: &Gateway) -> Self {
         Self {
-            address,
+            address: gateway.settings.borrow().store_address,
             connection: None,
+            own_link: Rc::clone(&gateway.own_link),
             era: None,
         }
     }
@@ -150,7 +152,11 @@
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .context("build store request")?;
-        let response = actix_rt::time::timeout(timeout, connection.call(request)).await;
+        let call = async {
+            let head = connection.send(request).await?;
+            self.own_link.collect(head).await
+        };
+        let response = actix_rt::time::timeout(timeout, call).await;
         let result = match &response {
             Ok(Ok(response)) if response.status().is_success() => "done",
             Ok(Ok(_)) => "refused",
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -3,7 +3,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use cyclamengauge_core::{
     ids::EngineId,
     serving::{
@@ -56,7 +55,7 @@
 /// instances; again whenever the store has come back from an older copy. Failed calls are
 /// retried.
 pub async fn keep_announced(gateway: Rc<Gateway>) {
-    let mut client = StoreClient::new(gateway.settings.borrow().store_address);
+    let mut client = StoreClient::new(&gateway);
     let mut calls = StoreCalls::default();
     loop {
         while let Err(err) = announce(&gateway, &mut client).await {
@@ -138,7 +137,7 @@
 /// Reads a table in full, then watches its changes while this instance is one of the
 /// watchers. Failed calls are retried.
 async fn watch_table(gateway: Rc<Gateway>, table: store::Table) {
-    let mut client = StoreClient::new(gateway.settings.borrow().store_address);
+    let mut client = StoreClient::new(&gateway);
     let mut calls = StoreCalls::default();
     let mut since = None;
     let mut rows_read = None;
@@ -303,8 +302,12 @@
     if has_changes {
         apply_rows(gateway, table, rows, false);
     }
-    if table == store::Table::Targets && has_changes {
-        actix_rt::time::sleep(TARGET_LIST_BATCH_DELAY).await;
+    match table {
+        store::Table::Targets if has_changes => {
+            actix_rt::time::sleep(TARGET_LIST_BATCH_DELAY).await;
+        }
+        store::Table::Operators if has_changes => gateway.wait_for_configuration_room().await,
+        _ => {}
     }
     Ok(Some(version))
 }
@@ -337,7 +340,8 @@
         return;
     }
     if let Some(value) = row.value {
-        gateway.apply_configuration(Bytes::from(value), STORE_SOURCE);
+        gateway.record_configuration_bytes(value.len());
+        gateway.apply_configuration(value.into(), STORE_SOURCE);
     }
 }
 
