--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -20,7 +20,7 @@
 };
 use cyclamengauge_schema::v1;
 
-use crate::gateway::{Gateway, watch};
+use crate::gateway::{self, Gateway, watch};
 
 /// Maximum age of the latest crash of a content in gossip messages.
 const MAX_REPORTED_CRASH_AGE: Duration = Duration::from_secs(60);
@@ -95,7 +95,7 @@
         paths: paths.iter().map(encode_path).collect(),
         requests_in_progress: gateway.requests_in_progress.get() as u32,
         takes_requests: gateway.takes_requests(),
-        link_mbps: settings.link.map(MegabitsPerSecond::rounded),
+        link_mbps: gateway::link(&settings).map(MegabitsPerSecond::rounded),
         serves_configuration_parts: true,
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -219,8 +219,9 @@
         let retry_budget = RetryBudget::new(retry_limits(&settings));
         let clock = Clock::start_with_past(REPORTED_PAST);
         let started_at = clock.now();
-        let own_link_mbps = settings.link.map(MegabitsPerSecond::rounded);
-        let link = settings.link.unwrap_or(pacing::DEFAULT_LINK);
+        let link = link(&settings);
+        let own_link_mbps = link.map(MegabitsPerSecond::rounded);
+        let link = link.unwrap_or(pacing::DEFAULT_LINK);
         let mut peers = Peers::default();
         for seed in &settings.seeds {
             peers.add_address(*seed, started_at);
@@ -505,3 +506,9 @@
         window: settings.bounds.retry_window,
     }
 }
+
+/// Bandwidth of this machine's link, if the settings name it.
+fn link(settings: &settings::Settings) -> Option<MegabitsPerSecond> {
+    let link_mbps = settings.limits.link_mbps;
+    link_mbps.filter(|mbps| *mbps > 0.0).map(MegabitsPerSecond)
+}
