--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -20,11 +20,11 @@
         watchers::WatchState,
     },
     text::SmolStr,
-    units::{RequestsPerSecond, Tokens},
+    units::{MegabitsPerSecond, RequestsPerSecond, Tokens},
 };
 use cyclamengauge_schema::v1;
 
-use crate::gateway::{Gateway, watch};
+use crate::gateway::{self, Gateway, watch};
 
 /// Maximum age of the latest crash of a content in gossip messages.
 const MAX_REPORTED_CRASH_AGE: Duration = Duration::from_secs(60);
@@ -110,6 +110,8 @@
         evacuation_version: evacuations.version.number,
         evacuation_era: evacuations.version.era,
         knows_evacuations,
+        link_mbps: gateway::link(&settings).map(MegabitsPerSecond::rounded),
+        serves_configuration_parts: true,
     }
 }
 
