core: which client connection gives way when there are too many

Nothing bounded the number of connections: a crowd could take all descriptors, and the process then reached neither targets nor the store. The account or address with the most connections gives up the one that is idle the longest; a request in progress is never cut off for it. The configuration's limits on heads and idle time are decoded too.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -2,6 +2,7 @@
 Routing of requests by host and path to the targets of a service.
 
 - [`routes`] holds the active configuration: routes, services, accounts, limits;
+- [`connections`] chooses the client connection that gives way when there are too many;
 - [`cost`] estimates the cost of a prompt to an engine and to the streams on it;
 - [`targets`] tracks the targets, their health and their load;
 - [`handover`] takes requests of peers that reach no target;
@@ -23,6 +24,7 @@
 */
 
 pub mod configuration_spread;
+pub mod connections;
 pub mod cost;
 pub mod crashes;
 pub mod dissemination;
--- a/crates/core/src/serving/routes.rs
+++ b/crates/core/src/serving/routes.rs
@@ -123,6 +123,12 @@
     pub struct ClientLimits {
         /// Largest request body.
         pub max_body_bytes: usize,
+        /// Largest request head; none if the configuration doesn't name it.
+        pub max_header_bytes: Option<usize>,
+        /// Longest time for a request head to arrive.
+        pub header_timeout: Option<Duration>,
+        /// Longest time in which a client does nothing.
+        pub idle_timeout: Option<Duration>,
     }
 
     /// One version of the configuration.
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -3,6 +3,7 @@
 
 mod configuration_fleet;
 mod configuration_spread;
+mod connections;
 mod crashes;
 mod dissemination;
 mod evacuation;
--- a/crates/core/tests/serving/routes.rs
+++ b/crates/core/tests/serving/routes.rs
@@ -49,6 +49,9 @@
         accounts,
         limits: ClientLimits {
             max_body_bytes: 1_000,
+            max_header_bytes: None,
+            header_timeout: None,
+            idle_timeout: None,
         },
     })
 }
