Bound what clients that misbehave can take

The server queued every request and every chunk in its read buffer, and bodies were read without a limit on their sum.

- http/stream hands the server one request at a time: a head when it is complete, a body while a handler wants it, the next head when the last response was taken.
A connection with more to read waits for turns, which leave room for all other tasks.
- gateway/client_body finds room in the memory budget before it reads more than 16 KiB, and gives up bodies that stall when others need the room.
- http/connections bounds the connections of each listener, by the shares in gateway/door_limits, and closes those of slow clients once a second.
- A body that is too slow is refused with 408, as it has not run; one above the limit before it is read.
- cyclamengauge-load hostile plays the clients of the tests.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -137,6 +137,8 @@
     "peer-faulty" ["peer", "cause"] "a message or response of a peer is invalid";
     "announce-failed" ["cause"] "the instance could not write its address to the store, or read its peers'";
     "reservation-failed" ["reservation", "cause"] "renewing or releasing reserved memory failed";
+    "connections-closed" ["cause", "count", "account", "address"]
+        "connections were closed or refused since the last such line, one of them of this account and address: `slow-request`, `slow-reader`, `too-many`";
     "memory-short" ["held_bytes", "limit_bytes", "requested_bytes", "ended"]
         "the memory for clients and targets is used up; `ended` client bodies and responses give way, at most one line a second";
     "request-faulty" ["request", "cause"] "part of a request can't be forwarded";
--- a/crates/daemon/src/client_api/request_checks.rs
+++ b/crates/daemon/src/client_api/request_checks.rs
@@ -140,8 +140,7 @@
         counted_bytes,
     };
     let timeout = Duration::from_millis(u64::from(limits.body_timeout_ms));
-    let payload = request.take_payload();
-    body.bytes = http::collect(payload, max_body_bytes, timeout)
+    body.bytes = http::collect(request, max_body_bytes, timeout)
         .await
         .map_err(body_error_response)?;
     let surplus_bytes = body.counted_bytes.saturating_sub(body.bytes.len());
--- a/crates/daemon/src/gateway/attempt/client_request.rs
+++ b/crates/daemon/src/gateway/attempt/client_request.rs
@@ -15,7 +15,7 @@
 };
 use http::{HeaderMap, HeaderValue, Method, Uri};
 
-use crate::telemetry::trace::Trace;
+use crate::{gateway::memory::MemoryHold, telemetry::trace::Trace};
 
 /// A client's request with its route, complete body and deadline.
 pub struct ClientRequest {
@@ -29,6 +29,8 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
+    /// Memory of the body; none for a small one.
+    pub _body_memory: Option<MemoryHold>,
     /// Route that matches the host and path.
     pub route: Rc<Route>,
     /// Service whose targets get the request.
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -73,6 +73,9 @@
     metrics::gauge!("cyclamengauge_log_lines_lost").set(dropped_lines);
     let alive = gateway.peers.borrow().alive_count(now);
     metrics::gauge!("cyclamengauge_peers").set(f64::from(alive));
+    let (connections, limits) = (&gateway.connections, gateway.connections.limits());
+    metrics::gauge!("cyclamengauge_client_connections").set(connections.count() as f64);
+    metrics::gauge!("cyclamengauge_client_connections_limit").set(limits.max_connections as f64);
     let is_watching = watch::watch_state(gateway) == WatchState::Watching;
     metrics::gauge!("cyclamengauge_watching").set(f64::from(u8::from(is_watching)));
     let refused_parts = gateway.refused_parts() as f64;
--- a/crates/daemon/src/gateway/handover/codec.rs
+++ b/crates/daemon/src/gateway/handover/codec.rs
@@ -201,6 +201,7 @@
         headers,
         last_event_id: last_event_id.transpose()?,
         body: Bytes::from(message.body),
+        _body_memory: None,
         service,
         stream,
         rank: Rank(message.rank),
--- a/crates/daemon/src/gateway/handover/take.rs
+++ b/crates/daemon/src/gateway/handover/take.rs
@@ -16,7 +16,8 @@
 use crate::{
     gateway::{
         Gateway,
-        attempt::TakenOverGuard,
+        attempt::{ClientRequest, TakenOverGuard},
+        client_body,
         handover::{
             codec::{self, TakenRequest},
             outcome::{OUTCOME_HEADER, Outcome},
@@ -50,11 +51,12 @@
         .route_table()
         .map_or(0, |table| table.limits().max_body_bytes);
     let max_bytes = max_body_bytes + MAX_MESSAGE_OVERHEAD_BYTES;
-    let body = server::collect(request.take_payload(), max_bytes, BODY_TIMEOUT).await;
-    let message = body
-        .map_err(anyhow::Error::new)
-        .and_then(|body| authenticate(gateway, &body));
-    let message = match message {
+    let latest = gateway.clock.now() + BODY_TIMEOUT;
+    let received = client_body::receive(gateway, &mut request, None, max_bytes, latest).await;
+    let message = received
+        .map_err(|err| anyhow::anyhow!("read a peer's request: {}", err.name()))
+        .and_then(|received| Ok((authenticate(gateway, &received.body)?, received.memory)));
+    let (message, body_memory) = match message {
         Ok(message) => message,
         Err(err) => {
             reject(gateway, &err);
@@ -90,7 +92,10 @@
     });
     match codec::decode(gateway, message, trace) {
         Ok((request, origin)) => Ok(TakenRequest {
-            request,
+            request: ClientRequest {
+                _body_memory: body_memory,
+                ..request
+            },
             origin,
             guard,
         }),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -13,6 +13,8 @@
 
 Beside them:
 
+- `client_body`: bodies of requests, as far as there is memory for them;
+- `door_limits`: number of connections and time limits of each listener;
 - `watch`: the configuration and the target list, from the platform's store or from
   peers that watch it;
 - `gossip`: exchange of loads, crashes and versions between instances;
@@ -24,6 +26,8 @@
 */
 
 mod attempt;
+mod client_body;
+mod door_limits;
 mod gauges;
 mod gossip;
 mod handover;
@@ -271,7 +275,7 @@
             gossip_schedule: RefCell::default(),
             gossip_scheduled: Notify::new(),
             shutdown_started_at: Cell::new(None),
-            connections: Connections::default(),
+            connections: Connections::with_limits(door_limits::for_clients(&settings.limits, None)),
             memory: memory::Memory::new(settings.limits.memory_mb),
             requests_in_progress: Cell::new(0),
             settings: RefCell::new(settings),
@@ -319,6 +323,9 @@
         if version <= current_version {
             return;
         }
+        let machine = self.settings.borrow().limits;
+        let limits = door_limits::for_clients(&machine, Some(&decoded.limits));
+        self.connections.set_limits(limits);
         *self.route_table.borrow_mut() = Some(Rc::new(RouteTable::new(decoded)));
         let now = self.clock.now();
         self.configuration_versions
--- a/crates/daemon/src/gateway/request/prepare.rs
+++ b/crates/daemon/src/gateway/request/prepare.rs
@@ -22,6 +22,7 @@
     gateway::{
         Gateway,
         attempt::ClientRequest,
+        client_body,
         response::{self, GatewayError},
     },
     http as server,
@@ -43,7 +44,7 @@
 ///
 /// If the request is refused before it is placed.
 pub async fn prepare(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     request: &mut Request,
     id: SmolStr,
     trace: &Rc<Trace>,
@@ -58,16 +59,15 @@
     let timeout = timeout.and_then(headers::parse_milliseconds);
     let timeout = timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = arrived_at + timeout.min(route.timeout);
-    let body_timeout = gateway.clock.until(deadline).min(BODY_TIMEOUT);
+    if let Some(flow) = server::stream::flow(request) {
+        flow.set_account(account.as_ref());
+    }
     let max_bytes = table.limits().max_body_bytes;
-    let body = server::collect(request.take_payload(), max_bytes, body_timeout)
-        .await
-        .map_err(|err| match err {
-            server::BodyError::TooLarge => GatewayError::BodyTooLarge,
-            server::BodyError::TooSlow | server::BodyError::Broken => GatewayError::BadRequest,
-        })?;
+    let latest = deadline.min(arrived_at + BODY_TIMEOUT);
+    let received =
+        client_body::receive(gateway, request, account.as_ref(), max_bytes, latest).await?;
     let uri = parse_uri(request, &id)?;
-    let fingerprint = compute_fingerprint(&uri, account.as_ref(), &body);
+    let fingerprint = compute_fingerprint(&uri, account.as_ref(), &received.body);
     if gateway
         .crashes
         .borrow()
@@ -104,7 +104,8 @@
         uri,
         headers: forwarded_headers(request.headers()),
         last_event_id: last_event_id.and_then(|id| HeaderValue::from_str(id).ok()),
-        body,
+        body: received.body,
+        _body_memory: received.memory,
         service,
         stream,
         rank: table.rank(&route, account.as_ref()),
--- a/crates/daemon/src/gateway/response/error.rs
+++ b/crates/daemon/src/gateway/response/error.rs
@@ -23,8 +23,10 @@
     NoRoute,
     /// The key belongs to no account.
     WrongKey,
-    /// The request is malformed, or its body is incomplete or too slow.
+    /// The request is malformed, or its body breaks off.
     BadRequest,
+    /// The body did not arrive in time, or gave way to others as it stalled.
+    BodyTooSlow,
     /// The body exceeds the limit of the configuration.
     BodyTooLarge,
     /// The request content has crashed engines before.
@@ -50,6 +52,8 @@
     Overloaded(Duration),
     /// The prompt needs more KV memory than the engines have.
     PromptTooLong,
+    /// There is no memory for the body. Holds the time after which a retry may succeed.
+    MemoryShort(Duration),
     /// The instance is shutting down.
     ShuttingDown,
     /// A target failed; the request may have been executed.
@@ -67,6 +71,7 @@
             Self::NoRoute => "no-route",
             Self::WrongKey => "wrong-key",
             Self::BadRequest => "bad-request",
+            Self::BodyTooSlow => "body-too-slow",
             Self::BodyTooLarge => "body-too-large",
             Self::ContentCrashesEngines => "content-crashes-engines",
             Self::PartCrashesEngines => "prompt-part-crashes-engines",
@@ -77,6 +82,7 @@
             Self::TargetsPaused(_) => "targets-paused",
             Self::Overloaded(_) => "overloaded",
             Self::PromptTooLong => "prompt-too-long",
+            Self::MemoryShort(_) => "memory-short",
             Self::ShuttingDown => "shutting-down",
             Self::TargetFailed => "target-failed",
             Self::TimedOut => "timed-out",
@@ -89,6 +95,7 @@
             Self::BadRequest => 400,
             Self::WrongKey => 401,
             Self::NoRoute => 404,
+            Self::BodyTooSlow => 408,
             Self::BodyTooLarge => 413,
             Self::TargetFailed => 502,
             Self::TimedOut => 504,
@@ -103,6 +110,7 @@
             | Self::TargetsPaused(_)
             | Self::Overloaded(_)
             | Self::PromptTooLong
+            | Self::MemoryShort(_)
             | Self::ShuttingDown => 503,
         }
     }
@@ -118,6 +126,7 @@
             | Self::TargetsBusy(wait)
             | Self::TargetsAtLimit(wait)
             | Self::TargetsPaused(wait)
+            | Self::MemoryShort(wait)
             | Self::Overloaded(wait) => Some(wait),
             // Typical restart time of a target.
             Self::NoTarget => Some(Duration::from_millis(1_000)),
@@ -127,6 +136,7 @@
             Self::NoRoute
             | Self::WrongKey
             | Self::BadRequest
+            | Self::BodyTooSlow
             | Self::BodyTooLarge
             | Self::TargetFailed
             | Self::TimedOut => None,
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -9,8 +9,11 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
-    gateway::{self, Gateway, attempt::paths, gauges, gossip, peer_keys, refused_parts, watch},
-    http, node,
+    gateway::{
+        self, Gateway, attempt::paths, door_limits, gauges, gossip, peer_keys, refused_parts, watch,
+    },
+    http::{self, Connections},
+    node,
     telemetry::{self, process_events, upkeep},
 };
 
@@ -107,13 +110,18 @@
     actix_rt::spawn(draining);
     actix_rt::spawn(upkeep::watch_turns());
     let state = Rc::clone(&gateway);
-    actix_rt::spawn(http::serve(metrics_listen, move |_| {
-        let dropped_lines = telemetry::dropped_lines();
-        metrics::gauge!("cyclamengauge_log_lines_lost").set(dropped_lines as f64);
-        gauges::update(&state);
-        let text = recorder.render();
-        async move { http::text(200, text) }
-    }));
+    let connections = Connections::with_limits(door_limits::for_probes());
+    actix_rt::spawn(http::serve_tracked(
+        metrics_listen,
+        connections,
+        move |_| {
+            let dropped_lines = telemetry::dropped_lines();
+            metrics::gauge!("cyclamengauge_log_lines_lost").set(dropped_lines as f64);
+            gauges::update(&state);
+            let text = recorder.render();
+            async move { http::text(200, text) }
+        },
+    ));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -134,11 +142,16 @@
     } = listeners;
     actix_rt::spawn(serve_clients(Rc::clone(gateway), clients));
     let state = Rc::clone(gateway);
-    actix_rt::spawn(http::serve(readiness, move |request| {
-        handle_readiness(Rc::clone(&state), request)
-    }));
+    let connections = Connections::with_limits(door_limits::for_probes());
+    actix_rt::spawn(http::serve_tracked(
+        readiness,
+        connections,
+        move |request| handle_readiness(Rc::clone(&state), request),
+    ));
     let state = Rc::clone(gateway);
-    actix_rt::spawn(http::serve(peers, move |request| {
+    let connections =
+        Connections::with_limits(door_limits::for_peers(&state.settings.borrow().limits));
+    actix_rt::spawn(http::serve_tracked(peers, connections, move |request| {
         gossip::handle_call(Rc::clone(&state), request)
     }));
     actix_rt::spawn(watch::watch_configuration(Rc::clone(gateway)));
--- a/crates/daemon/src/http/body.rs
+++ b/crates/daemon/src/http/body.rs
@@ -2,10 +2,12 @@
 
 use std::{fmt, time::Duration};
 
-use actix_http::{Payload, error::PayloadError};
+use actix_http::{Request, error::PayloadError};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 
+use crate::http::stream;
+
 /// Reason why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -35,11 +37,12 @@
 ///
 /// If the body exceeds `max_bytes`, takes longer than `timeout`, or breaks off.
 pub async fn collect(
-    payload: Payload,
+    request: &mut Request,
     max_bytes: usize,
     timeout: Duration,
 ) -> Result<Bytes, BodyError> {
-    collect_response(payload, max_bytes, timeout).await
+    let _wanted = stream::flow(request).map(|flow| flow.want_body());
+    collect_response(request.take_payload(), max_bytes, timeout).await
 }
 
 /// Reads a complete body, such as that of a target's response, from a stream of
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -52,8 +52,7 @@
         let detail = "the key in `Authorization: Bearer` belongs to no operator";
         return http::problem(401, "wrong-key", detail, ExecutionState::NotExecuted, None);
     };
-    let payload = request.take_payload();
-    let body = match http::collect(payload, MAX_BODY_BYTES, BODY_TIMEOUT).await {
+    let body = match http::collect(&mut request, MAX_BODY_BYTES, BODY_TIMEOUT).await {
         Ok(body) => body,
         Err(err) => {
             return http::problem(
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -377,6 +377,18 @@
     );
 }
 
+/// Logs that connections of clients were closed or refused, with one of the clients.
+pub fn log_connections_closed(cause: &str, count: u64, account: &str, address: &str) {
+    tracing::warn!(
+        event = "connections-closed",
+        cause,
+        count,
+        account,
+        address,
+        "connections: closed or refused {count}, {cause}: the latest of account `{account}` at {address}"
+    );
+}
+
 /// Logs that writing this instance's address to the store, or reading the peers'
 /// addresses from it, failed.
 pub fn log_announce_failed(cause: &anyhow::Error) {
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -283,6 +283,7 @@
             held_bytes: 95,
             limit_bytes: 100,
         };
+        process_events::log_connections_closed("too-many", 3, "lab", "10.0.0.1");
         process_events::log_memory_short(error, 2);
         process_events::log_request_faulty("r1", &err);
     });
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod demo;
 pub mod experiment;
 pub mod harness;
+pub mod hostile;
 pub mod latency;
 pub mod model;
 pub mod slopes;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -10,6 +10,7 @@
     capacity::{self, capacity_options},
     demo::{self, demo_options},
     experiment::{self, compare_options},
+    hostile::{self, hostile_options},
     latency::{self, latency_options},
     slopes::{self, slopes_options},
     standins::{self, engine_options, plain_options, platform_options},
@@ -28,6 +29,9 @@
     /// Measure what a daemon adds to the way of each token
     #[bpaf(command)]
     Latency(#[bpaf(external(latency_options))] latency::LatencyOptions),
+    /// Play clients that misbehave
+    #[bpaf(command)]
+    Hostile(#[bpaf(external(hostile_options))] hostile::HostileOptions),
     /// Measure how costs grow with size
     #[bpaf(command)]
     Slopes(#[bpaf(external(slopes_options))] slopes::SlopesOptions),
@@ -64,6 +68,7 @@
     match command().run() {
         Command::Demo(options) => with_program(|program| demo::run(&options, program)),
         Command::Capacity(options) => capacity::run(&options),
+        Command::Hostile(options) => hostile::run(&options),
         Command::Latency(options) => with_program(|program| latency::run(&options, program)),
         Command::Slopes(options) => with_program(|program| slopes::run(&options, program)),
         Command::Compare(options) => {
--- a/crates/load/src/standins/server.rs
+++ b/crates/load/src/standins/server.rs
@@ -36,8 +36,7 @@
 
 /// Reads a whole body; an unreadable one counts as empty.
 pub(super) async fn body(request: &mut Request) -> Bytes {
-    let payload = request.take_payload();
-    let read = http::collect(payload, MAX_BODY_BYTES, BODY_TIMEOUT).await;
+    let read = http::collect(request, MAX_BODY_BYTES, BODY_TIMEOUT).await;
     read.unwrap_or_default()
 }
 
