targets: few requests to targets that are cold

Nothing read `cold_per_s`, `cold_start_s` and `cold_remaining_ms`; the end of an evacuation, which now takes place, makes a whole data centre cold.

Services name how their targets start. A target is cold from the time at which its process became known, after the end of an evacuation of its data centre, and as a new entry says. It is limited like one that names a limit: counts by gossip, 0.4 of the rate together, and an instance that hears few others takes its part among the most that it has known. Without a rate nothing changes.

--- a/crates/core/src/serving/routes.rs
+++ b/crates/core/src/serving/routes.rs
@@ -8,6 +8,7 @@
     routing::Priority,
     serving::cost::EngineModel,
     text::SmolStr,
+    units::RequestsPerSecond,
 };
 
 /// Whether requests on a route may run more than once.
@@ -106,6 +107,19 @@
         pub id: ServiceId,
         /// Cost model of the service's engines; none for a plain service.
         pub engine: Option<EngineModel>,
+        /// How targets start; none if a target that has just started takes as many
+        /// requests as any other.
+        pub cold_start: Option<ColdStart>,
+    }
+
+    /// The first seconds of a target's process, or those after a rest: it takes few requests
+    /// then.
+    #[derive(Copy)]
+    pub struct ColdStart {
+        /// Time for which the target is cold.
+        pub time: Duration,
+        /// Requests that it takes in this time, from all instances together.
+        pub rate: RequestsPerSecond,
     }
 
     /// A client account with its API keys.
--- a/crates/core/src/serving/targets/limits.rs
+++ b/crates/core/src/serving/targets/limits.rs
@@ -25,6 +25,10 @@
 /// has changed.
 const MIN_RATE: RequestsPerSecond = RequestsPerSecond(0.2);
 
+/// Part of a cold target's rate at which it gets requests. An idle target may get twice as
+/// many in its first second, and so may the instances on the other side of a cut.
+const COLD_SHARE: f64 = 0.4;
+
 /// Count below which a target without a limit is forgotten.
 const MIN_COUNT: f64 = 1e-3;
 
@@ -165,12 +169,25 @@
     sequence: u64,
 }
 
+/// A target that takes few requests for some time.
+#[derive(Clone, Copy, Debug)]
+struct ColdTarget {
+    /// Rate at which requests are sent to it; below the one that it takes, for the burst that
+    /// an idle target gets and for the requests that peers send unheard.
+    limit: RequestsPerSecond,
+    until: Instant,
+}
+
 /// The limits of all targets, and the requests that count against them.
 #[derive(Clone, Debug, Default)]
 pub struct TargetLimits {
     limits: BTreeMap<EngineId, TargetLimit>,
     /// Answers to this instance, of targets in `limits`.
     own_answers: HashMap<EngineId, OwnAnswers>,
+    /// Targets that are cold.
+    cold: BTreeMap<EngineId, ColdTarget>,
+    /// Most instances that this process has known of at a time.
+    most_instances: u32,
     /// Requests of this instance, for all targets.
     own_counts: HashMap<EngineId, RequestCount>,
     /// Latest reported requests of the peers, for limited targets.
@@ -194,6 +211,46 @@
     pub fn set_peers(&mut self, heard: u32, missing: u32) {
         self.heard_peers = heard;
         self.missing_peers = missing;
+        self.most_instances = self.most_instances.max(1 + heard + missing);
+    }
+
+    /// Takes a target for cold until `until`: it takes `rate` from all instances together.
+    pub fn set_cold(
+        &mut self,
+        target: &EngineId,
+        rate: RequestsPerSecond,
+        until: Instant,
+        now: Instant,
+    ) {
+        let known = self.cold.get(target).map(|cold| cold.until);
+        let until = until.max(known.unwrap_or(until));
+        if until > now {
+            let limit = RequestsPerSecond(rate.0 * COLD_SHARE);
+            self.cold
+                .insert(target.clone(), ColdTarget { limit, until });
+        }
+    }
+
+    /// Whether any target is cold.
+    pub fn has_cold(&self, now: Instant) -> bool {
+        self.cold.values().any(|cold| now < cold.until)
+    }
+
+    /// Rate at which the instances whose requests are known may send to a target; none if it
+    /// has no limit. A cold target crashes above its rate, so all instances that may still
+    /// run count there, heard of or not.
+    fn rate(&self, target: &EngineId, now: Instant) -> Option<RequestsPerSecond> {
+        let named = self.limit(target).map(|limit| self.known_rate(limit));
+        let cold = self.cold.get(target).filter(|cold| now < cold.until);
+        let cold = cold.map(|cold| {
+            let known = 1 + self.heard_peers;
+            let share = f64::from(known) / f64::from(self.most_instances.max(known));
+            RequestsPerSecond((cold.limit.0 * share).max(MIN_RATE.0))
+        });
+        match (named, cold) {
+            (Some(named), Some(cold)) => Some(RequestsPerSecond(named.0.min(cold.0))),
+            (named, cold) => named.or(cold),
+        }
     }
 
     /// Limit of a target; none if it has none.
@@ -209,11 +266,11 @@
 
     /// Time until the limit of a target allows another request; zero if it does now.
     pub fn wait(&self, target: &EngineId, now: Instant) -> Duration {
-        let Some(limit) = self.limit(target) else {
+        let Some(rate) = self.rate(target, now) else {
             return Duration::ZERO;
         };
         let count = self.count(target, now);
-        let max_count = max_count(self.known_rate(limit));
+        let max_count = max_count(rate);
         match count <= max_count {
             true => Duration::ZERO,
             false => TIME_CONSTANT.mul_f64((count / max_count).ln()),
@@ -241,7 +298,7 @@
     pub fn record_request(&mut self, target: &EngineId, now: Instant) {
         let count = self.own_counts.entry(target.clone()).or_default();
         count.add(1.0, now);
-        if self.limits.contains_key(target) {
+        if self.limits.contains_key(target) || self.cold.contains_key(target) {
             self.changed.insert(target.clone());
         }
     }
@@ -373,15 +430,28 @@
 
     /// Reports of all limited targets, and of those whose limit was withdrawn lately.
     pub fn reports(&self, now: Instant) -> Vec<LimitReport> {
-        let targets = self.limits.keys();
+        let targets: BTreeSet<&EngineId> = self.limits.keys().chain(self.cold.keys()).collect();
+        let targets = targets.into_iter();
         targets
             .filter_map(|target| self.report(target, now))
             .collect()
     }
 
     fn report(&self, target: &EngineId, now: Instant) -> Option<LimitReport> {
-        let known = self.limits.get(target)?;
         let own_count = self.own_counts.get(target);
+        let sent_count = own_count.map_or(0.0, |count| count.at(now));
+        let Some(known) = self.limits.get(target) else {
+            // Only the count: without an age, the report names no limit.
+            let cold = self.cold.get(target).filter(|_| sent_count >= MIN_COUNT)?;
+            return Some(LimitReport {
+                target: target.clone(),
+                limit: cold.limit,
+                named_age: None,
+                doubted_age: None,
+                withdrawn_age: None,
+                sent_count,
+            });
+        };
         let answers = self.own_answers.get(target).copied().unwrap_or_default();
         let age = |at: Option<Instant>| at.map(|at| now - at);
         let since_naming = |at: Option<Instant>| at.filter(|at| *at >= known.named_at);
@@ -392,7 +462,7 @@
             named_age: age(answers.named_at.filter(|_| is_in_force)),
             doubted_age: age(since_naming(answers.doubted_at)),
             withdrawn_age: age(since_naming(answers.withdrawn_at)),
-            sent_count: own_count.map_or(0.0, |count| count.at(now)),
+            sent_count,
         })
     }
 
@@ -410,6 +480,7 @@
     pub fn forget_limit(&mut self, target: &EngineId) {
         self.limits.remove(target);
         self.own_answers.remove(target);
+        self.cold.remove(target);
     }
 
     /// Time after which a client that is refused now can be served: `wait`, the time
@@ -422,8 +493,8 @@
         wait: Duration,
         now: Instant,
     ) -> Duration {
-        let limits = targets.iter().filter_map(|target| self.limit(target));
-        let rate: f64 = limits.map(|limit| self.known_rate(limit).0).sum();
+        let rates = targets.iter().filter_map(|target| self.rate(target, now));
+        let rate: f64 = rates.map(|rate| rate.0).sum();
         let interval = f64::from(1 + self.heard_peers) / rate.max(MIN_RATE.0);
         let earliest = now + wait;
         let return_at = match self.return_times.get(service) {
@@ -450,6 +521,7 @@
             !counts.is_empty()
         });
         self.return_times.retain(|_, at| *at > now);
+        self.cold.retain(|_, cold| cold.until > now);
     }
 }
 
--- a/crates/core/src/serving/targets/mod.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -1,5 +1,6 @@
 //! Targets of all services: address, health, and load from all instances.
 
+mod cold;
 pub mod evacuation;
 pub mod limits;
 mod load;
@@ -15,7 +16,7 @@
 use crate::{
     clock::Instant,
     ids::{DataCentreId, EngineId, InstanceId, ServiceId},
-    serving::queue,
+    serving::{queue, routes::ColdStart},
     units::Tokens,
 };
 
@@ -78,6 +79,8 @@
         /// Start of the target's process, in ms since the Unix epoch; 0 if
         /// unknown.
         pub started_unix_ms: u64,
+        /// Time for which the target was still cold when it wrote the entry.
+        pub cold_remaining: Duration,
     }
 
     /// Part of a request that runs on one target.
@@ -167,6 +170,8 @@
     peers: HashMap<InstanceId, PeerLoads>,
     /// Limits that targets set on their requests.
     pub limits: TargetLimits,
+    /// How the targets of services start, of those whose targets start cold.
+    cold_starts: BTreeMap<ServiceId, ColdStart>,
     /// What targets said of themselves.
     notices: Notices,
     /// Data centres whose targets get no new requests.
@@ -196,6 +201,8 @@
     /// restarted, its failure rate, exclusions and limit are reset.
     pub fn upsert(&mut self, facts: TargetFacts, now: Instant) {
         self.departures.remove(&facts.id);
+        let id = facts.id.clone();
+        let known = self.targets.get(&id).map(|known| known.facts.clone());
         match self.targets.get_mut(&facts.id) {
             Some(known) if known.facts.started_unix_ms == facts.started_unix_ms => {
                 known.facts = facts;
@@ -210,6 +217,7 @@
                 }
             }
         }
+        self.record_cold_entry(&id, known.as_ref(), now);
     }
 
     /// Removes a target without an entry after `linger`. The target stays usable
@@ -495,7 +503,7 @@
         excluded: &[EngineId],
         now: Instant,
     ) -> Vec<&Target> {
-        if self.limits.limited().next().is_none() {
+        if self.limits.limited().next().is_none() && !self.limits.has_cold(now) {
             return Vec::new();
         }
         let mut targets = self.eligible(service, excluded, now);
--- a/crates/core/tests/serving/fleet.rs
+++ b/crates/core/tests/serving/fleet.rs
@@ -50,6 +50,7 @@
         slots: 16,
         draining: false,
         started_unix_ms: 1,
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -1,6 +1,7 @@
 //! Tests of routing by host and path to targets, in virtual time and without a
 //! network. Each load pattern that the users describe is a test.
 
+mod cold;
 mod configuration_fleet;
 mod configuration_spread;
 mod crashes;
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -319,6 +319,11 @@
         if version <= current_version {
             return;
         }
+        let services = decoded.services.iter();
+        let cold_starts =
+            services.filter_map(|service| Some((service.id.clone(), service.cold_start?)));
+        let now = self.clock.now();
+        self.targets.borrow_mut().set_cold_starts(cold_starts, now);
         *self.route_table.borrow_mut() = Some(Rc::new(RouteTable::new(decoded)));
         let now = self.clock.now();
         self.configuration_versions
--- a/crates/daemon/src/gateway/watch.rs
+++ b/crates/daemon/src/gateway/watch.rs
@@ -372,6 +372,11 @@
         return;
     }
     let has_targets = gateway.target_list_loaded.get();
+    let now = gateway.clock.now();
+    gateway
+        .targets
+        .borrow_mut()
+        .record_evacuation_changes(changes, now);
     for change in changes {
         let data_centre = &change.data_centre;
         process_events::log_evacuation(data_centre, change.is_evacuated, source);
--- a/crates/daemon/src/node/configure.rs
+++ b/crates/daemon/src/node/configure.rs
@@ -196,5 +196,6 @@
         slots: UNDECLARED_SLOTS,
         draining: target.drain,
         started_unix_ms: 0,
+        cold_remaining: Duration::ZERO,
     })
 }
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -228,6 +228,7 @@
         slots: 8,
         draining: false,
         started_unix_ms: 1,
+        cold_remaining: Duration::ZERO,
     };
     let lines = capture_lines(|| {
         process_events::log_start(&InstanceId::new("a"), 1, address);
