--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -326,6 +326,11 @@
         let machine = self.settings.borrow().limits;
         let limits = door_limits::for_clients(&machine, Some(&decoded.limits));
         self.connections.set_limits(limits);
+        let services = decoded.services.iter();
+        let cold_starts =
+            services.filter_map(|service| Some((service.id.clone(), service.cold_start?)));
+        let now = self.clock.now();
+        self.targets.borrow_mut().set_cold_starts(cold_starts, now);
         *self.route_table.borrow_mut() = Some(Rc::new(RouteTable::new(decoded)));
         let now = self.clock.now();
         self.configuration_versions
