core: learn how fast each target is and place requests by it

Cause: all targets of a service share one model, and plain targets count requests per slot, so a slow target gets as much as a fast one.

Change: serving/pace keeps the latest samples of each target: of an engine the times of first events and gaps over what the model gives for the load there, of others the time of the request. The median is compared with the other targets, merged over the instances by weighted median, and applied gradually. Samples at unlike loads show the number of requests from which a target slows down. One request in 50 tests a slow target that has no others. Off unless configured; without it placements are as before.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -119,6 +119,8 @@
         "operators have evacuated a data centre, whose targets get no new requests, or taken it back";
     "evacuation-faulty" ["key", "cause"]
         "an evacuation row can't be read, or its data centre has no targets";
+    "target-pace" ["target", "slowdown", "before", "uncertainty", "knee"]
+        "the time that a target takes, over that of the others of its service, has changed by a third; `knee` is the number of concurrent requests from which it slows down";
     "part-refused" ["part", "source"]
         "prompts with this part are refused, as it crashes engines; `source` reported the latest crash";
     "part-allowed" ["part", "source"]
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -4,6 +4,7 @@
 - [`routes`] holds the active configuration: routes, services, accounts, limits;
 - [`cost`] estimates the cost of a prompt to an engine and to the streams on it;
 - [`targets`] tracks the targets, their health and their load;
+- [`pace`] learns how fast each target is;
 - [`handover`] takes requests of peers that reach no target;
 - [`peers`] tracks the other instances;
 - [`reachability`] tells an instance that is cut off from targets that are down;
@@ -29,6 +30,7 @@
 pub mod framing;
 pub mod handover;
 pub mod memory;
+pub mod pace;
 pub mod peers;
 pub mod placement;
 pub mod prompt_parts;
--- a/crates/core/src/serving/placement/mod.rs
+++ b/crates/core/src/serving/placement/mod.rs
@@ -24,6 +24,13 @@
 /// slot. Also the range of the random cost that spreads requests among equal targets.
 const REMOTE_COST: f64 = 0.02;
 
+/// Cost of a target whose slots are all in use, in requests per slot, where targets may
+/// differ in speed: a fast one must not be given more than it holds.
+const NO_SLOT_COST: f64 = 4.0;
+
+/// Credit of a target that a request is to test, above all costs of an idle one.
+const TEST_CREDIT: f64 = 100_000.0;
+
 /// Number of runners-up in a placement.
 pub const MAX_RUNNERS_UP: usize = 2;
 
@@ -184,7 +191,13 @@
     now: Instant,
 ) -> Placement {
     let mean_failure_rate = mean_failure_rate(usable, now);
+    let idle = usable.iter().map(|target| &target.facts.id);
+    let idle = idle.filter(|id| targets.pace.is_enabled() && targets.load(id, now).requests == 0);
+    let tested = targets.pace.draw_tested(idle, rng);
     let cost = |target: &Target| {
+        if Some(&target.facts.id) == tested {
+            return -TEST_CREDIT;
+        }
         let load = targets.load(&target.facts.id, now);
         let utilisation = f64::from(load.requests) / f64::from(target.facts.slots.max(1));
         let remote_cost = if target.facts.data_centre == request.data_centre {
@@ -192,7 +205,17 @@
         } else {
             REMOTE_COST
         };
-        utilisation + remote_cost + excess_failure_rate(target, mean_failure_rate, now)
+        let slowdown = targets.pace.slowdown(&target.facts.id, load.requests);
+        let no_slot_cost = match targets.pace.is_enabled() && utilisation >= 1.0 {
+            true => NO_SLOT_COST,
+            false => 0.0,
+        };
+        // The time of the request, which grows with the target's load, over that of one
+        // at an idle target of usual speed.
+        slowdown * (1.0 + utilisation) - 1.0
+            + no_slot_cost
+            + remote_cost
+            + excess_failure_rate(target, mean_failure_rate, now)
     };
     let costs = usable
         .iter()
--- a/crates/core/src/serving/placement/stream.rs
+++ b/crates/core/src/serving/placement/stream.rs
@@ -141,6 +141,8 @@
 struct EngineState<'a> {
     target: &'a Target,
     load: Load,
+    /// Factor on the engine's times, this stream included.
+    slowdown: f64,
     /// Length of an iteration without prefill, this stream included.
     iteration_ms: f64,
     backlog_ms: f64,
@@ -149,6 +151,8 @@
     failure_cost_ms: f64,
     /// Cost of an engine in another data centre.
     remote_cost_ms: f64,
+    /// Whether the stream is to show whether the engine is still slow.
+    is_tested: bool,
     /// Random cost, so that instances don't all choose the same engine.
     jitter_ms: f64,
 }
@@ -196,7 +200,8 @@
     let loads = targets.loads(now);
     let engines = usable.iter().map(|target| {
         let load = loads.get(&target.facts.id).copied().unwrap_or_default();
-        let mut engine = EngineState::new(target, load, model);
+        let slowdown = targets.pace.slowdown(&target.facts.id, load.requests);
+        let mut engine = EngineState::new(target, load, model, slowdown);
         engine.failure_cost_ms = FAILURE_COST_MS * excess_failure_rate(target, mean, now);
         engine.jitter_ms = rng.f64()
             * JITTER_PER_INSTANCE_MS
@@ -225,6 +230,7 @@
     };
     if search.size == PromptSize::Short {
         search.add_unreported_streams(request.unreported_streams, rng);
+        search.draw_tested(targets, rng);
     }
     search.run()
 }
@@ -270,6 +276,19 @@
         }
     }
 
+    /// Marks the engine that the stream is to test, if any.
+    fn draw_tested(&mut self, targets: &Targets, rng: &mut fastrand::Rng) {
+        let idle = self
+            .engines
+            .iter()
+            .filter(|engine| engine.load.requests == 0);
+        let idle = idle.map(|engine| &engine.target.facts.id);
+        let tested = targets.pace.draw_tested(idle, rng).cloned();
+        for engine in &mut self.engines {
+            engine.is_tested = Some(&engine.target.facts.id) == tested.as_ref();
+        }
+    }
+
     fn run(&self) -> Result<Placement, PlacementError> {
         let candidates = self.split_counts().map(|split| self.candidate(split));
         let best = candidates.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
@@ -315,14 +334,16 @@
         let lead = placement::cheapest_first(&lead_costs_ms)[0];
         let helper_cost_ms = |i: &usize| {
             let engine = &self.engines[*i];
-            self.helper_cost_ms(engine, part_ms) + engine.wait_ms()
+            let excess_ms = part_ms * (engine.slowdown - 1.0);
+            self.helper_cost_ms(engine, part_ms) + engine.wait_ms() + excess_ms
         };
         let mut members: Vec<usize> = (0..self.engines.len()).filter(|i| *i != lead).collect();
         members.sort_by(|a, b| helper_cost_ms(a).total_cmp(&helper_cost_ms(b)));
         members.insert(0, lead);
         members.truncate(split);
-        let waits = members.iter().map(|i| self.engines[*i].wait_ms());
-        let first_event_ms = waits.fold(0.0, f64::max) + part_ms + self.engines[lead].iteration_ms;
+        let prefilled_ms = members.iter().map(|i| &self.engines[*i]);
+        let prefilled_ms = prefilled_ms.map(|engine| engine.wait_ms() + part_ms * engine.slowdown);
+        let first_event_ms = prefilled_ms.fold(0.0, f64::max) + self.engines[lead].iteration_ms;
         let helpers = members[1..].iter().map(|i| &self.engines[*i]);
         let helper_costs_ms: f64 = helpers
             .map(|engine| self.helper_cost_ms(engine, part_ms))
@@ -356,7 +377,12 @@
 
     /// Cost of a prompt part on the lead engine, besides the wait.
     fn lead_cost_ms(&self, engine: &EngineState<'_>, part_ms: f64) -> f64 {
-        let mut cost = engine.prefill_cost_ms(part_ms) + self.capacity_cost_ms(engine);
+        let mut cost = engine.prefill_cost_ms(part_ms)
+            + self.capacity_cost_ms(engine)
+            + self.slowdown_cost_ms(engine, part_ms);
+        if engine.is_tested {
+            cost -= placement::TEST_CREDIT;
+        }
         match self.size {
             PromptSize::Short | PromptSize::Medium => {
                 cost += engine.jitter_ms + engine.remote_cost_ms;
@@ -379,11 +405,31 @@
         cost
     }
 
+    /// Cost of a lead engine that is slower than usual, besides the wait: a later first
+    /// event, and the risk that it and the gaps after it are late. Negative for a faster
+    /// engine.
+    fn slowdown_cost_ms(&self, engine: &EngineState<'_>, part_ms: f64) -> f64 {
+        if engine.slowdown == 1.0 {
+            return 0.0;
+        }
+        let usual_iteration_ms = engine.iteration_ms / engine.slowdown;
+        let usual_ms = part_ms + usual_iteration_ms;
+        let first_event_ms = part_ms * engine.slowdown + engine.iteration_ms;
+        let wait_ms = engine.wait_ms();
+        let (objective, gap) = (self.stream.objective, self.stream.gap);
+        let added_risk = lateness_risk(wait_ms + first_event_ms, objective)
+            - lateness_risk(wait_ms / engine.slowdown + usual_ms, objective)
+            + lateness_risk(engine.iteration_ms, gap)
+            - lateness_risk(usual_iteration_ms, gap);
+        first_event_ms - usual_ms + self.value * LATE_EVENT_COST_MS * added_risk
+    }
+
     /// Cost of a lack of slots or KV memory on the lead engine.
     fn capacity_cost_ms(&self, engine: &EngineState<'_>) -> f64 {
         let slots = f64::from(self.model.slots.min(engine.target.facts.slots));
         let requests = f64::from(engine.load.requests);
-        let excess_requests = (requests + 1.0 - slots * SOFT_SLOT_SHARE).max(0.0);
+        let soft_slots = slots * SOFT_SLOT_SHARE / engine.slowdown.max(1.0);
+        let excess_requests = (requests + 1.0 - soft_slots).max(0.0);
         let mut cost = SOFT_LIMIT_COST_MS * excess_requests;
         if requests >= slots {
             cost += SLOT_WAIT_COST_MS * (requests + 1.0 - slots);
@@ -464,18 +510,20 @@
 }
 
 impl<'a> EngineState<'a> {
-    fn new(target: &'a Target, load: Load, model: &EngineModel) -> Self {
+    fn new(target: &'a Target, load: Load, model: &EngineModel, slowdown: f64) -> Self {
         // Includes the stream to be placed.
         let iteration_time = model.iteration_time(load.decoding_streams + 1, load.memory);
         let digest = hash::fmix64(hash::fnv1a(target.facts.id.as_str()));
         Self {
             target,
             load,
-            iteration_ms: iteration_time.as_secs_f64() * 1e3,
-            backlog_ms: load.backlog.as_secs_f64() * 1e3,
+            slowdown,
+            iteration_ms: iteration_time.as_secs_f64() * 1e3 * slowdown,
+            backlog_ms: load.backlog.as_secs_f64() * 1e3 * slowdown,
             hash_position: digest as f64 / u64::MAX as f64,
             failure_cost_ms: 0.0,
             remote_cost_ms: 0.0,
+            is_tested: false,
             jitter_ms: 0.0,
         }
     }
@@ -505,7 +553,7 @@
             strictest_gap: Some(gap),
             value,
         });
-        self.backlog_ms += prefill_time.as_secs_f64() * 1e3;
+        self.backlog_ms += prefill_time.as_secs_f64() * 1e3 * self.slowdown;
     }
 
     /// Expected time until the prefill of a part dispatched now begins: the prefill
@@ -537,8 +585,8 @@
     fn prefill_cost_ms(&self, part_ms: f64) -> f64 {
         let late_cost_ms = self.load.strictest_gap.map_or(0.0, |gap| {
             let before_ms = self.iteration_ms + self.backlog_ms;
-            let added_risk =
-                lateness_risk(before_ms + part_ms, gap) - lateness_risk(before_ms, gap);
+            let added_risk = lateness_risk(before_ms + part_ms * self.slowdown, gap)
+                - lateness_risk(before_ms, gap);
             self.load.value * LATE_EVENT_COST_MS * added_risk
         });
         late_cost_ms + self.failure_cost_ms
--- a/crates/core/src/serving/routes.rs
+++ b/crates/core/src/serving/routes.rs
@@ -211,6 +211,13 @@
         self.services.get(id)
     }
 
+    /// Engine model of each service that has one.
+    pub fn engine_models(&self) -> HashMap<ServiceId, EngineModel> {
+        let services = self.services();
+        let models = services.filter_map(|service| Some((service.id.clone(), service.engine?)));
+        models.collect()
+    }
+
     /// Iterates over all services, in any order.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.values()
--- a/crates/core/src/serving/targets/mod.rs
+++ b/crates/core/src/serving/targets/mod.rs
@@ -15,7 +15,7 @@
 use crate::{
     clock::Instant,
     ids::{DataCentreId, EngineId, InstanceId, ServiceId},
-    serving::queue,
+    serving::{pace::Paces, queue},
     units::Tokens,
 };
 
@@ -171,6 +171,8 @@
     notices: Notices,
     /// Data centres whose targets get no new requests.
     pub evacuations: Evacuations,
+    /// Speeds that the targets' answers show.
+    pub pace: Paces,
     /// Moving average of the durations of served requests.
     mean_durations: HashMap<ServiceId, Duration>,
 }
@@ -205,6 +207,7 @@
             _ => {
                 let target = Target::new(facts, now);
                 let id = target.facts.id.clone();
+                self.pace.begin_anew(&id, &target.facts.service, now);
                 if self.targets.insert(id.clone(), target).is_some() {
                     self.limits.forget_limit(&id);
                 }
@@ -239,6 +242,7 @@
             .remove_expired(|id| targets.contains_key(id), now);
         self.notices
             .remove_expired(|id| targets.contains_key(id), now);
+        self.pace.retain(|id| targets.contains_key(id));
     }
 
     /// Records a request that is being sent. The first part belongs to the target
@@ -260,6 +264,10 @@
         }
         self.last_id += 1;
         let id = InFlightId(self.last_id);
+        if self.pace.is_enabled() {
+            let load = self.load(&parts[0].target, now);
+            self.pace.record_sent(id, &parts, stream, &load, now);
+        }
         let request = InFlightRequest {
             parts,
             prefilled_at,
@@ -307,6 +315,7 @@
         now: Instant,
     ) -> Option<Duration> {
         let request = self.in_flight.remove(&id)?;
+        self.pace.record_end(id, outcome == Outcome::Served, now);
         self.mark_changed(&request.parts);
         let target = request.parts[0].target.clone();
         if outcome == Outcome::Served {
@@ -416,6 +425,7 @@
     pub fn forget_peer(&mut self, peer: &InstanceId, now: Instant) {
         self.peers.remove(peer);
         self.limits.record_peer_restart(peer, now);
+        self.pace.forget_peer(peer);
     }
 
     /// Takes this instance's loads on the targets where they changed since the last
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod loads;
 mod memory;
+mod pace;
 mod peers;
 mod placement;
 mod prompt_parts;
