--- a/crates/daemon/src/gateway/attempt/guards.rs
+++ b/crates/daemon/src/gateway/attempt/guards.rs
@@ -198,7 +198,10 @@
         let Counted::AtTargets(id) = self.counted else {
             return;
         };
-        self.gateway.targets.borrow_mut().record_first_event(id);
+        let mut targets = self.gateway.targets.borrow_mut();
+        targets.record_first_event(id);
+        targets.record_pace(id, None, self.gateway.clock.now());
+        drop(targets);
         match self.has_helpers {
             // It frees several engines for the next long prompt.
             true => self.gateway.report_placement(),
@@ -206,6 +209,14 @@
         }
     }
 
+    /// Records a later event, for which the instance has waited since `waited_from`.
+    pub fn record_event(&self, waited_from: Instant) {
+        if let Counted::AtTargets(id) = self.counted {
+            let mut targets = self.gateway.targets.borrow_mut();
+            targets.record_pace(id, Some(waited_from), self.gateway.clock.now());
+        }
+    }
+
     /// The target and its address.
     pub fn target_address(&self) -> TargetAddress {
         TargetAddress {
--- a/crates/daemon/src/gateway/gauges.rs
+++ b/crates/daemon/src/gateway/gauges.rs
@@ -6,6 +6,7 @@
     clock::Instant,
     ids::{EngineId, ServiceId},
     serving::{
+        pace::PaceEstimate,
         reachability::PathState,
         targets::{Target, Targets},
         watchers::WatchState,
@@ -96,6 +97,36 @@
     }
     update_services(gateway, now);
     update_limits(gateway);
+    update_paces(gateway);
+}
+
+/// Sets the speed of each target of which something is known, and the usual one for those
+/// of which nothing is known any more.
+fn update_paces(gateway: &Gateway) {
+    let targets = gateway.targets.borrow();
+    let set = |target: &EngineId, slowdown: f64, uncertainty: f64, knee: f64| {
+        let labels = [("target", target.to_string())];
+        metrics::gauge!("cyclamengauge_target_slowdown", &labels).set(slowdown);
+        metrics::gauge!("cyclamengauge_target_slowdown_uncertainty", &labels).set(uncertainty);
+        metrics::gauge!("cyclamengauge_target_knee", &labels).set(knee);
+    };
+    let mut known: BTreeSet<EngineId> = BTreeSet::new();
+    for (target, _, estimate) in targets.pace.estimates() {
+        let PaceEstimate {
+            slowdown,
+            uncertainty,
+            knee,
+            ..
+        } = estimate;
+        set(target, slowdown, uncertainty, knee.unwrap_or_default());
+        known.insert(target.clone());
+    }
+    let previous = gateway.paces_in_metrics.replace(known.clone());
+    for target in previous.difference(&known) {
+        set(target, 1.0, 0.0, 0.0);
+    }
+    let implausible = targets.pace.implausible_samples() as f64;
+    metrics::gauge!("cyclamengauge_implausible_pace_samples").set(implausible);
 }
 
 /// Sets the limit of each limited target, and 0 for those that no longer have one.
--- a/crates/daemon/src/gateway/gossip/messages.rs
+++ b/crates/daemon/src/gateway/gossip/messages.rs
@@ -8,6 +8,7 @@
     request::Fingerprint,
     serving::{
         dissemination::DueMessage,
+        pace::PaceReport,
         prompt_parts::{EngineCrash, PartReport},
         queue::QueuedPrompt,
         reachability::{PathReport, PeerReport},
@@ -43,15 +44,17 @@
     now: Instant,
 ) -> v1::Gossip {
     let settings = gateway.settings.borrow();
-    let (loads, target_limits) = match message {
+    let (loads, target_limits, paces) = match message {
         DueMessage::Changes => {
             let mut targets = gateway.targets.borrow_mut();
             let limits = targets.limits.take_changed_reports(now);
-            (targets.take_changed_loads(now), limits)
+            let paces = targets.pace.take_changed_reports(now);
+            (targets.take_changed_loads(now), limits, paces)
         }
         DueMessage::CompleteState => {
-            let targets = gateway.targets.borrow();
-            (targets.own_loads(now), targets.limits.reports(now))
+            let mut targets = gateway.targets.borrow_mut();
+            let paces = targets.pace.reports(now);
+            (targets.own_loads(now), targets.limits.reports(now), paces)
         }
     };
     let has_news = gateway.reachability.borrow_mut().take_news();
@@ -112,6 +115,7 @@
         knows_evacuations,
         link_mbps: gateway::link(&settings).map(MegabitsPerSecond::rounded),
         serves_configuration_parts: true,
+        target_paces: paces.iter().map(encode_pace).collect(),
     }
 }
 
@@ -256,6 +260,27 @@
     }
 }
 
+fn encode_pace(report: &PaceReport) -> v1::TargetPace {
+    v1::TargetPace {
+        target: report.target.to_string(),
+        slowdown_percent: (report.slowdown * 100.0).round() as u32,
+        weight_tenths: (report.weight * 10.0).ceil() as u32,
+        age_ms: report.age.as_millis() as u32,
+        knee_tenths: report.knee.map_or(0, |knee| (knee * 10.0).ceil() as u32),
+    }
+}
+
+/// Decodes a peer's estimate of a target's speed.
+pub(super) fn decode_pace(pace: &v1::TargetPace) -> PaceReport {
+    PaceReport {
+        target: EngineId::new(&pace.target),
+        slowdown: f64::from(pace.slowdown_percent) / 100.0,
+        weight: f64::from(pace.weight_tenths) / 10.0,
+        knee: (pace.knee_tenths > 0).then(|| f64::from(pace.knee_tenths) / 10.0),
+        age: Duration::from_millis(u64::from(pace.age_ms)),
+    }
+}
+
 fn encode_path(path: &PathReport) -> v1::ServicePath {
     v1::ServicePath {
         service: path.service.to_string(),
--- a/crates/daemon/src/gateway/gossip/mod.rs
+++ b/crates/daemon/src/gateway/gossip/mod.rs
@@ -23,6 +23,7 @@
     serving::{
         configuration_spread::sources::Source,
         dissemination::DueMessage,
+        pace::PaceReport,
         peers::{MessageNumber, Reception, Recipient, Sender},
         targets::{limits::LimitReport, notices::TargetProcess},
         watchers::WatchState,
@@ -88,7 +89,9 @@
                 let mut targets = gateway.targets.borrow_mut();
                 targets.remove_expired(now);
                 targets.limits.set_peers(heard, missing);
+                let pace_changes = targets.pace.take_changes();
                 drop(targets);
+                process_events::log_pace_changes(&pace_changes);
                 start_round(&gateway, now)
             }
         };
@@ -204,6 +207,9 @@
         targets.forget_peer(&instance, now);
     }
     targets.merge_peer_loads(&instance, &messages::decode_load_report(gossip), now);
+    let paces = gossip.target_paces.iter().map(messages::decode_pace);
+    let paces: Vec<PaceReport> = paces.collect();
+    targets.pace.merge_reports(&instance, &paces, now);
     drop(targets);
     record_target_limits(gateway, &instance, gossip, now);
     if reception == Reception::Late {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -174,6 +174,8 @@
     faulty_notices_logged_at: RefCell<HashMap<EngineId, Instant>>,
     /// Targets whose limits the metrics have, so that they can be reset.
     limits_in_metrics: RefCell<BTreeSet<EngineId>>,
+    /// Targets whose speeds the metrics have, so that they can be reset.
+    paces_in_metrics: RefCell<BTreeSet<EngineId>>,
     crashes: RefCell<Crashes>,
     prompt_parts: RefCell<PromptParts>,
     rng: RefCell<fastrand::Rng>,
@@ -256,6 +258,7 @@
             faulty_limit_logged_at: Cell::default(),
             faulty_notices_logged_at: RefCell::default(),
             limits_in_metrics: RefCell::default(),
+            paces_in_metrics: RefCell::default(),
             crashes: RefCell::default(),
             prompt_parts: RefCell::default(),
             rng: RefCell::new(fastrand::Rng::with_seed(incarnation)),
@@ -319,7 +322,12 @@
         if version <= current_version {
             return;
         }
-        *self.route_table.borrow_mut() = Some(Rc::new(RouteTable::new(decoded)));
+        let route_table = Rc::new(RouteTable::new(decoded));
+        if self.settings.borrow().learns_pace {
+            let models = route_table.engine_models();
+            self.targets.borrow_mut().pace.configure(Some(models));
+        }
+        *self.route_table.borrow_mut() = Some(route_table);
         let now = self.clock.now();
         self.configuration_versions
             .borrow_mut()
--- a/crates/daemon/src/gateway/request/relay.rs
+++ b/crates/daemon/src/gateway/request/relay.rs
@@ -63,9 +63,11 @@
     /// If the stream broke and can't be resumed on another engine.
     pub async fn next(&mut self) -> Result<Option<Bytes>, StreamError> {
         loop {
+            let waited_from = self.attempts.gateway.clock.now();
             match self.next_from_engine().await {
                 Ok(Some(batch)) => {
                     self.engine_sent_event = true;
+                    self.events.in_flight().record_event(waited_from);
                     self.attempts.record_event();
                     self.last_event_id = batch.last_event_id;
                     return Ok(Some(batch.bytes));
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -11,6 +11,7 @@
     ids::{DataCentreId, EngineId, InstanceId, PromptPartId},
     serving::{
         memory::MemoryError,
+        pace::PaceChange,
         reachability::{PathChange, PathState},
         store_calls::Outage,
         targets::{Outcome, TargetFacts},
@@ -19,6 +20,9 @@
     units::RequestsPerSecond,
 };
 
+/// Largest number of lines about changes of speeds at once.
+const MAX_PACE_LINES: usize = 20;
+
 /// Logs that the process serves on `listen`.
 pub fn log_start(instance: &InstanceId, incarnation: u64, listen: SocketAddr) {
     tracing::info!(
@@ -220,6 +224,30 @@
     );
 }
 
+/// Logs the targets whose slowdown has changed by a third, the largest changes first.
+pub fn log_pace_changes(changes: &[PaceChange]) {
+    let mut changes: Vec<&PaceChange> = changes.iter().collect();
+    let size = |change: &PaceChange| (change.estimate.slowdown / change.before).ln().abs();
+    changes.sort_by(|a, b| size(b).total_cmp(&size(a)));
+    for change in changes.into_iter().take(MAX_PACE_LINES) {
+        let PaceChange {
+            target,
+            before,
+            estimate,
+        } = change;
+        tracing::info!(
+            event = "target-pace",
+            %target,
+            slowdown = estimate.slowdown,
+            before = *before,
+            uncertainty = estimate.uncertainty,
+            knee = estimate.knee,
+            "targets: {target} takes {:.2} times as long as usual, before {before:.2}",
+            estimate.slowdown
+        );
+    }
+}
+
 /// Logs that this instance reaches no target of a service any more, or again.
 pub fn log_path(change: &PathChange) {
     let PathChange { service, .. } = change;
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -17,6 +17,7 @@
     ids::{AccountId, DataCentreId, EngineId, InstanceId, PromptPartId, ServiceId},
     serving::{
         memory::MemoryError,
+        pace::{PaceChange, PaceEstimate},
         reachability::{PathChange, PathState},
         store_calls::Outage,
         targets::TargetFacts,
@@ -112,6 +113,19 @@
     EngineId::new("t1")
 }
 
+fn pace_change() -> PaceChange {
+    PaceChange {
+        target: target_id(),
+        before: 1.0,
+        estimate: PaceEstimate {
+            slowdown: 2.5,
+            uncertainty: 0.1,
+            weight: 8.0,
+            knee: Some(4.0),
+        },
+    }
+}
+
 fn one_event_of_each_kind() -> Vec<TraceEvent> {
     vec![
         TraceEvent::Received {
@@ -256,6 +270,7 @@
         process_events::log_store_lost(&"targets", &err);
         let limit = Some(RequestsPerSecond(1.5));
         process_events::log_target_limit(&target_id(), limit, limit, "a");
+        process_events::log_pace_changes(&[pace_change()]);
         process_events::log_target_limit_faulty(&target_id(), &err);
         process_events::log_target_leaving(&target_id(), "a");
         process_events::log_target_paused(&target_id(), Duration::from_millis(1_500));
