core: few requests at once on engines of unknown speed where engines are uneven

Cause: where short streams outgrow the known engines, an idle one of unknown speed got a burst of them before its first event showed that it is slow. A knee was forgotten after 5 s, so that engines that slow down at a third of their slots were overloaded again and again.

Change: a third request whose first event an unknown engine owes has a cost; a knee doubles in 15 s.

--- a/crates/core/src/serving/pace/mod.rs
+++ b/crates/core/src/serving/pace/mod.rs
@@ -52,6 +52,9 @@
 const REPORTED_CHANGE: f64 = 0.25;
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Samples, weighed by age, from which the speed of a target is known.
+const MIN_KNOWN_WEIGHT: f64 = 1.0;
+
 /// Slowdown from which a target is tested.
 const TESTED_SLOWDOWN: f64 = 1.3;
 
@@ -195,6 +198,12 @@
         rng.choice(slow)
     }
 
+    /// Whether the speed of a target is known.
+    pub fn is_known(&self, target: &EngineId) -> bool {
+        let evidence = self.evidence(target);
+        self.known.contains_key(target) || evidence.is_some_and(|e| e.weight() >= MIN_KNOWN_WEIGHT)
+    }
+
     /// What placements assume of a target; none if nothing is known of it.
     pub fn estimate(&self, target: &EngineId) -> Option<PaceEstimate> {
         self.evidence(target).map(estimate_of)
--- a/crates/core/src/serving/pace/window.rs
+++ b/crates/core/src/serving/pace/window.rs
@@ -27,7 +27,7 @@
 const NO_KNEE_GROWTH: f64 = 1.2;
 
 /// Time in which a knee doubles if no sample confirms it, so that it is tested.
-const KNEE_DOUBLING_TIME: Duration = Duration::from_secs(5);
+const KNEE_DOUBLING_TIME: Duration = Duration::from_secs(15);
 
 /// Weight below which samples say nothing any more.
 pub(super) const MIN_WEIGHT: f64 = 0.05;
--- a/crates/core/src/serving/placement/stream.rs
+++ b/crates/core/src/serving/placement/stream.rs
@@ -89,6 +89,14 @@
 /// Cost of each request that has to wait for a slot, in ms.
 const SLOT_WAIT_COST_MS: f64 = 1_000.0;
 
+/// Slowdown of an engine from which the engines of its service are taken for uneven.
+const UNEVEN_SLOWDOWN: f64 = 1.25;
+
+/// Requests whose first event an engine of unknown speed may owe, where engines are
+/// uneven, and the cost of each further one, in ms.
+const MAX_UNPROVEN_REQUESTS: u32 = 2;
+const UNPROVEN_COST_MS: f64 = 150.0;
+
 /// Cost of a lack of KV memory, in ms: the engine would defer other streams.
 const MEMORY_SHORTAGE_COST_MS: f64 = 5_000.0;
 
@@ -151,6 +159,8 @@
     failure_cost_ms: f64,
     /// Cost of an engine in another data centre.
     remote_cost_ms: f64,
+    /// Whether its speed is unknown, where engines are uneven.
+    is_unproven: bool,
     /// Whether the stream is to show whether the engine is still slow.
     is_tested: bool,
     /// Random cost, so that instances don't all choose the same engine.
@@ -211,7 +221,12 @@
         }
         engine
     });
-    let engines: Vec<EngineState<'_>> = engines.collect();
+    let mut engines: Vec<EngineState<'_>> = engines.collect();
+    if engines.iter().any(|e| e.slowdown > UNEVEN_SLOWDOWN) {
+        for engine in &mut engines {
+            engine.is_unproven = !targets.pace.is_known(&engine.target.facts.id);
+        }
+    }
     let prefill_time = model.prefill_time(stream.prompt);
     let mut search = Search {
         first_short_cost_ms: first_short_cost_ms(
@@ -434,6 +449,11 @@
         if requests >= slots {
             cost += SLOT_WAIT_COST_MS * (requests + 1.0 - slots);
         }
+        if engine.is_unproven {
+            let owed = engine.load.requests - engine.load.decoding_streams;
+            let excess = (owed + 1).saturating_sub(MAX_UNPROVEN_REQUESTS);
+            cost += UNPROVEN_COST_MS * f64::from(excess);
+        }
         let fits_when_idle = self.memory <= self.model.memory;
         if fits_when_idle && engine.load.memory + self.memory > self.model.memory {
             cost += MEMORY_SHORTAGE_COST_MS;
@@ -523,6 +543,7 @@
             hash_position: digest as f64 / u64::MAX as f64,
             failure_cost_ms: 0.0,
             remote_cost_ms: 0.0,
+            is_unproven: false,
             is_tested: false,
             jitter_ms: 0.0,
         }
