gateway: bodies of the store and of peers are counted as they are read

Cause: own_link.rs read bodies past Connection::next_data, which counts payload, so a body over 160 KiB exceeded the limit on framing with no payload counted.

Change: own_link reads through the connection.

--- a/crates/daemon/src/gateway/gossip/calls.rs
+++ b/crates/daemon/src/gateway/gossip/calls.rs
@@ -51,7 +51,7 @@
         anyhow::ensure!(status.is_success(), "response status {status}");
         let own_link = &self.gateway.own_link;
         let response = own_link
-            .collect_while_moving(response, IDLE_TIMEOUT)
+            .collect_while_moving(&self.connection, response, IDLE_TIMEOUT)
             .await?;
         Ok(response.into_body())
     }
--- a/crates/daemon/src/gateway/own_link.rs
+++ b/crates/daemon/src/gateway/own_link.rs
@@ -6,10 +6,9 @@
 use bytes::{Bytes, BytesMut};
 use cyclamengauge_core::{clock::Instant, serving::reachability::own_link::OwnLink};
 use http::Response;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::node::Clock;
+use crate::{gateway::upstream::Connection, node::Clock};
 
 /// Largest body that is buffered in memory.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -43,13 +42,18 @@
         self.state.get().explains(started_at, self.clock.now())
     }
 
-    /// Reads the body of a response into memory.
+    /// Reads the body of a response of `connection` into memory.
     ///
     /// # Errors
     ///
     /// If the body is incomplete or larger than `MAX_BODY_BYTES`.
-    pub async fn collect(&self, response: Response<Incoming>) -> anyhow::Result<Response<Bytes>> {
-        self.collect_while_moving(response, Duration::MAX).await
+    pub async fn collect(
+        &self,
+        connection: &Connection,
+        response: Response<Incoming>,
+    ) -> anyhow::Result<Response<Bytes>> {
+        self.collect_while_moving(connection, response, Duration::MAX)
+            .await
     }
 
     /// As [`Self::collect`], but fails only if no bytes arrive for `idle_timeout`.
@@ -60,22 +64,20 @@
     /// `MAX_BODY_BYTES`.
     pub async fn collect_while_moving(
         &self,
+        connection: &Connection,
         response: Response<Incoming>,
         idle_timeout: Duration,
     ) -> anyhow::Result<Response<Bytes>> {
         let (head, mut incoming) = response.into_parts();
         let mut body = BytesMut::new();
         loop {
-            let frame = actix_rt::time::timeout(idle_timeout, incoming.frame()).await;
-            let frame = frame.with_context(|| {
+            let next = connection.next_data(&mut incoming);
+            let next = actix_rt::time::timeout(idle_timeout, next).await;
+            let next = next.with_context(|| {
                 let length = body.len();
                 format!("read the response body: no bytes for {idle_timeout:?} after {length}")
             })?;
-            let Some(frame) = frame else { break };
-            let frame = frame.context("read the response body")?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
+            let Some(data) = next? else { break };
             anyhow::ensure!(
                 body.len() + data.len() <= MAX_BODY_BYTES,
                 "read the response body: over the limit of {MAX_BODY_BYTES} bytes"
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -154,7 +154,7 @@
             .context("build store request")?;
         let call = async {
             let head = connection.send(request).await?;
-            self.own_link.collect(head).await
+            self.own_link.collect(&connection, head).await
         };
         let response = actix_rt::time::timeout(timeout, call).await;
         let result = match &response {
