--- a/crates/daemon/src/gateway/attempt/check.rs
+++ b/crates/daemon/src/gateway/attempt/check.rs
@@ -25,8 +25,8 @@
 ///
 /// # Errors
 ///
-/// If the response has no final status, has another request id, lacks a signature or is encoded, or if the
-/// target refused the request or returned a server error.
+/// If the response has no final status, has another request id, lacks a signature or is
+/// encoded, or if the target refused the request or returned a server error.
 pub async fn check(
     gateway: &Rc<Gateway>,
     request: &ClientRequest,
