Numbers of other systems no longer end the task that calculates with them

What callers saw: requests without an answer, and a configuration after which an instance followed no later one.

Cause: times were calculated in f64 and converted with `Duration::from_secs_f64`, which panics above 2^64 s and below zero. A timeout of 1e300 ms in a configuration ended the task that watches the table; a client that sent the largest prompt in its token counts, or an engine model with a negative or very large time, ended the task of the request. The sum of two weights of a route overflowed.

Change: `clock::duration_from_secs` cuts a calculated time at zero and at a billion seconds, and is used wherever the number comes from elsewhere. Weights are summed as f64.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -9,6 +9,32 @@
     time::Duration,
 };
 
+/// Longest duration that [`duration_from_secs`] returns, in seconds: sums and small multiples
+/// of such durations don't overflow.
+const MAX_SECONDS: f64 = 1e9;
+
+/// Converts a calculated time in seconds to a duration.
+///
+/// A number below zero and not-a-number become zero, and a time above a billion seconds
+/// becomes a billion: the numbers may come from other systems.
+///
+/// # Example
+///
+/// ```
+/// use std::time::Duration;
+/// use cyclamengauge_core::clock::duration_from_secs;
+///
+/// assert_eq!(duration_from_secs(1.5), Duration::from_millis(1_500));
+/// assert_eq!(duration_from_secs(-1.0), Duration::ZERO);
+/// assert_eq!(duration_from_secs(f64::INFINITY), Duration::from_secs(1_000_000_000));
+/// ```
+pub fn duration_from_secs(seconds: f64) -> Duration {
+    match seconds > 0.0 {
+        true => Duration::from_secs_f64(seconds.min(MAX_SECONDS)),
+        false => Duration::ZERO,
+    }
+}
+
 /// A point in time, measured from an arbitrary start.
 ///
 /// Addition saturates, and subtraction of a later point gives zero.
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    clock::Instant,
+    clock::{self, Instant},
     ids::EngineId,
     request::Request,
     routing::{
@@ -295,7 +295,7 @@
             candidates.push(Candidate {
                 engine: *index,
                 cached: Tokens(0),
-                estimate: Duration::from_secs_f64(estimate_s),
+                estimate: clock::duration_from_secs(estimate_s),
                 cost,
             });
         }
@@ -400,7 +400,7 @@
         Candidate {
             engine: index,
             cached,
-            estimate: Duration::from_secs_f64(estimate_s),
+            estimate: clock::duration_from_secs(estimate_s),
             cost,
         }
     }
--- a/crates/core/src/serving/cost.rs
+++ b/crates/core/src/serving/cost.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use crate::units::Tokens;
+use crate::{clock, units::Tokens};
 
 /// Prompt tokens per unit of stream value, from the ratio between short and long
 /// prompts in the users' sheets.
@@ -64,7 +64,7 @@
         let tokens = prompt.0 as f64;
         let pairs_m = tokens * tokens / 2.0 / 1e6;
         let ms = tokens / self.prefill_tokens_per_ms + pairs_m * self.per_million_pairs_ms;
-        Duration::from_secs_f64(ms / 1e3)
+        clock::duration_from_secs(ms / 1e3)
     }
 
     /// Value of a stream served on time, in units of a stream with an empty prompt.
@@ -84,6 +84,6 @@
         } else {
             self.steps_per_iteration
         };
-        Duration::from_secs_f64(per_step_ms * f64::from(steps) / 1e3)
+        clock::duration_from_secs(per_step_ms * f64::from(steps) / 1e3)
     }
 }
--- a/crates/core/src/serving/placement/stream.rs
+++ b/crates/core/src/serving/placement/stream.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use crate::{
-    clock::Instant,
+    clock::{self, Instant},
     routing::hash,
     serving::{
         cost::EngineModel,
@@ -509,8 +509,8 @@
             address: lead.address,
             helpers: helpers.collect(),
             parts: parts.collect(),
-            estimate: Duration::from_secs_f64(best.first_event_ms / 1e3),
-            wait: Duration::from_secs_f64(wait_ms / 1e3),
+            estimate: clock::duration_from_secs(best.first_event_ms / 1e3),
+            wait: clock::duration_from_secs(wait_ms / 1e3),
             long: self.size != PromptSize::Short,
             can_skip_queue,
             stream: Some(StreamTraits {
--- a/crates/core/src/serving/routes.rs
+++ b/crates/core/src/serving/routes.rs
@@ -278,12 +278,9 @@
     /// Selects a service with a probability by weight. `draw` is a random number,
     /// uniform in 0 to 1.
     pub fn draw_service(&self, draw: f64) -> &ServiceId {
-        let total: u32 = self
-            .weighted_services
-            .iter()
-            .map(|share| share.weight)
-            .sum();
-        let mut remaining = draw * f64::from(total);
+        let weights = self.weighted_services.iter();
+        let total: f64 = weights.map(|share| f64::from(share.weight)).sum();
+        let mut remaining = draw * total;
         for share in &self.weighted_services {
             remaining -= f64::from(share.weight);
             if remaining < 0.0 {
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use crate::clock;
+
 crate::quantity! {
     /// Number of tokens in a prompt, in a response or in KV memory.
     ///
@@ -83,7 +85,7 @@
     /// assert_eq!(rate.time_for(Tokens(100_000)).as_secs(), 2);
     /// ```
     pub fn time_for(self, tokens: Tokens) -> Duration {
-        Duration::from_secs_f64(tokens.0 as f64 / self.0.max(1.0))
+        clock::duration_from_secs(tokens.0 as f64 / self.0.max(1.0))
     }
 }
 
@@ -95,6 +97,6 @@
 
     /// Time to carry `bytes` at this rate. A rate below 0.001 Mbit/s counts as that.
     pub fn time_for(self, bytes: usize) -> Duration {
-        Duration::from_secs_f64(bytes as f64 * 8.0 / 1e6 / self.0.max(1e-3))
+        clock::duration_from_secs(bytes as f64 * 8.0 / 1e6 / self.0.max(1e-3))
     }
 }
--- a/crates/daemon/src/gateway/handover/take.rs
+++ b/crates/daemon/src/gateway/handover/take.rs
@@ -50,7 +50,7 @@
     let max_body_bytes = gateway
         .route_table()
         .map_or(0, |table| table.limits().max_body_bytes);
-    let max_bytes = max_body_bytes + MAX_MESSAGE_OVERHEAD_BYTES;
+    let max_bytes = max_body_bytes.saturating_add(MAX_MESSAGE_OVERHEAD_BYTES);
     let latest = gateway.clock.now() + BODY_TIMEOUT;
     let received = client_body::receive(gateway, &mut request, None, max_bytes, latest).await;
     let message = received
