A row that can't be read no longer hides the others

Cause: the store's response was decoded as a whole, so that one row decided over all of them.

Change: each row is decoded by itself. A row whose key can be read gets an empty content, which names nothing, so that a target whose entry becomes unreadable leaves the list; one without a readable key is left out and logged (`rows-unreadable`). A log line quotes 500 bytes of a cause at most.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -98,6 +98,7 @@
         "the target list has a new or changed entry";
     "target-unlisted" ["target", "linger_ms"] "an entry was removed from the target list";
     "target-entry-faulty" ["target", "cause"] "an entry of the target list is invalid";
+    "rows-unreadable" ["table", "rows"] "rows of a table are left out, as their keys can't be read";
     "target-suspect" ["target", "cause", "out_ms"] "a target is excluded for `out_ms`";
     "path" [
         "service", "state", "before", "failing_ms", "failed_targets", "handed_over", "refused"
--- a/crates/daemon/src/gateway/store.rs
+++ b/crates/daemon/src/gateway/store.rs
@@ -10,7 +10,10 @@
 use http::{Method, Request, Response};
 use http_body_util::Full;
 
-use crate::gateway::{Gateway, own_link::OwnLinkUse, upstream::Connection};
+use crate::{
+    gateway::{Gateway, own_link::OwnLinkUse, upstream::Connection},
+    telemetry::process_events,
+};
 
 /// Time for connecting to the store: far above the round-trip time to the store,
 /// far below the apply limit of configurations.
@@ -72,6 +75,7 @@
         let response = self.call(Method::GET, &path, Bytes::new(), timeout).await?;
         let era = response.era;
         let page = store::decode_rows(&success_body(response, "read a table page")?, era)?;
+        report_unreadable(table, &page);
         if rows_read
             .as_ref()
             .is_some_and(|rows| rows.version.era != era)
@@ -113,7 +117,9 @@
         {
             return Ok(None);
         }
-        store::decode_rows(&success_body(response, "wait for table changes")?, era).map(Some)
+        let rows = store::decode_rows(&success_body(response, "wait for table changes")?, era)?;
+        report_unreadable(table, &rows);
+        Ok(Some(rows))
     }
 
     /// Runs a transaction that writes rows; `body` is its encoded form.
@@ -183,6 +189,12 @@
     }
 }
 
+fn report_unreadable(table: store::Table, rows: &store::Rows) {
+    if rows.unreadable > 0 {
+        process_events::log_rows_unreadable(&table, rows.unreadable);
+    }
+}
+
 fn success_body(response: StoreResponse, step: &str) -> anyhow::Result<Bytes> {
     let response = response.response;
     let status = response.status();
--- a/crates/daemon/src/telemetry/process_events.rs
+++ b/crates/daemon/src/telemetry/process_events.rs
@@ -23,6 +23,19 @@
 /// Largest number of lines about changes of speeds at once.
 const MAX_PACE_LINES: usize = 20;
 
+/// Longest text of a cause that may quote what another system wrote, in bytes.
+const MAX_CAUSE_BYTES: usize = 500;
+
+/// Text of a cause, cut to a size that does not depend on what it quotes.
+fn describe_cause(cause: &anyhow::Error) -> String {
+    let mut text = format!("{cause:#}");
+    if text.len() > MAX_CAUSE_BYTES {
+        text.truncate(text.floor_char_boundary(MAX_CAUSE_BYTES));
+        text.push('…');
+    }
+    text
+}
+
 /// Logs that the process serves on `listen`.
 pub fn log_start(instance: &InstanceId, incarnation: u64, listen: SocketAddr) {
     tracing::info!(
@@ -78,11 +91,12 @@
 
 /// Logs that a configuration is invalid. The previous one stays in effect.
 pub fn log_configuration_faulty(source: &str, cause: &anyhow::Error) {
+    let cause = describe_cause(cause);
     tracing::error!(
         event = "configuration-faulty",
         source,
-        cause = format!("{cause:#}"),
-        "config: rejected configuration from {source}: {cause:#}"
+        cause,
+        "config: rejected configuration from {source}: {cause}"
     );
 }
 
@@ -114,11 +128,22 @@
 
 /// Logs that an entry of the target list is invalid.
 pub fn log_target_entry_faulty(target: &str, cause: &anyhow::Error) {
+    let cause = describe_cause(cause);
     tracing::warn!(
         event = "target-entry-faulty",
         target,
-        cause = format!("{cause:#}"),
-        "targets: invalid entry of {target}: {cause:#}"
+        cause,
+        "targets: invalid entry of {target}: {cause}"
+    );
+}
+
+/// Logs that rows of a table were left out, as their keys can't be read.
+pub fn log_rows_unreadable(table: &dyn fmt::Debug, rows: usize) {
+    tracing::warn!(
+        event = "rows-unreadable",
+        ?table,
+        rows,
+        "store: {rows} rows of {table:?} left out, their keys can't be read"
     );
 }
 
@@ -174,11 +199,12 @@
 /// Logs that a row that evacuates a data centre is invalid, or names a data centre without
 /// targets.
 pub fn log_evacuation_faulty(key: &str, cause: &anyhow::Error) {
+    let cause = describe_cause(cause);
     tracing::warn!(
         event = "evacuation-faulty",
         key,
-        cause = format!("{cause:#}"),
-        "targets: evacuation {key}: {cause:#}"
+        cause,
+        "targets: evacuation {key}: {cause}"
     );
 }
 
@@ -324,11 +350,12 @@
 /// Logs that the store's rows of refused parts could not be read, decoded or written, as
 /// `step` says.
 pub fn log_refused_parts_failed(step: &str, cause: &anyhow::Error) {
+    let cause = describe_cause(cause);
     tracing::warn!(
         event = "refused-parts-failed",
         step,
-        cause = format!("{cause:#}"),
-        "platform: {step} refused prompt parts: {cause:#}"
+        cause,
+        "platform: {step} refused prompt parts: {cause}"
     );
 }
 
@@ -397,11 +424,12 @@
 
 /// Logs that a message or a response of a peer is invalid.
 pub fn log_peer_faulty(peer: &str, cause: &anyhow::Error) {
+    let cause = describe_cause(cause);
     tracing::warn!(
         event = "peer-faulty",
         peer,
-        cause = format!("{cause:#}"),
-        "peers: invalid message of {peer}: {cause:#}"
+        cause,
+        "peers: invalid message of {peer}: {cause}"
     );
 }
 
