gateway: every request of a planned stop gets an answer or a refusal

What callers saw: on a stop, requests that were passed on and still at work at 0.93 of the grace time lost their connection without an answer, among them requests that may run once; a request whose body came late was passed on after the time in which new ones are refused; with a grace time above 8.3 s, a request that arrived while an idle process ended was taken and cut; a request that a stopping peer made for an instance was given up at 0.3 s as silent, although nobody else could make it.

Cause: the process ended whatever was in progress. Requests were refused by the arrival of their head alone. The last 50 ms of a process took new requests. A taken-over attempt ends early for the sake of another one, which no instance took.

Change: core/serving/shutdown names the times of a stop. Shortly before the process ends, each request in progress is answered: 502 `interrupted` if a target may run it, 503 if none has got it. A request is refused after its body has come too late, and if its response is expected only after the end. A process that is about to end refuses at once. While it stops, an attempt for a peer waits on.

Streams that have begun and outlast the stop still end at 0.93 of the grace time, as streams that are not complete.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -17,6 +17,7 @@
 - [`placement`] chooses the target of a request;
 - [`queue`] orders long prompts across instances;
 - [`rate`] measures event rates;
+- [`shutdown`] times the end of a process;
 - [`retry_budget`] limits the retries of all instances;
 - [`memory`] limits the memory that is held for clients and targets;
 - [`framing`] limits the bytes of a response that are not its payload;
@@ -41,6 +42,7 @@
 pub mod reachability;
 pub mod retry_budget;
 pub mod routes;
+pub mod shutdown;
 pub mod store_calls;
 pub mod target_list;
 pub mod targets;
--- a/crates/daemon/src/gateway/attempt/client_request.rs
+++ b/crates/daemon/src/gateway/attempt/client_request.rs
@@ -1,6 +1,6 @@
 //! A client's request, as every attempt needs it.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use bytes::Bytes;
 use cyclamengauge_core::{
@@ -51,6 +51,8 @@
     pub last_event_id: Option<HeaderValue>,
     /// Prompt length and objectives of a stream; none for other requests.
     pub stream: Option<placement::Stream>,
+    /// Whether a target, or a peer that it was handed over to, may run or have run it.
+    pub may_run: Rc<Cell<bool>>,
     /// Trace events of the request.
     pub trace: Rc<Trace>,
 }
--- a/crates/daemon/src/gateway/attempt/timeouts.rs
+++ b/crates/daemon/src/gateway/attempt/timeouts.rs
@@ -66,6 +66,9 @@
     /// Whether the wait ends when no target can be reached any more, or when the peer that
     /// makes the attempt falls silent: another attempt is allowed.
     can_end_early: bool,
+    /// Whether the attempt is made for a peer. While this process stops, the peer can't hand
+    /// the request over to it again, so the wait goes on.
+    is_taken_over: bool,
 }
 
 /// What is known of an attempt when its time limits are set.
@@ -78,6 +81,8 @@
     /// Whether another attempt is allowed if this one fails after it may have executed the
     /// request.
     pub can_retry: bool,
+    /// Whether the attempt is made for a peer.
+    pub is_taken_over: bool,
 }
 
 /// Why a wait for a target ended without a result.
@@ -120,6 +125,7 @@
             accepting_limit: limit,
             active_limit: client_timeout.mul_f64(ACTIVE_LIMIT_SHARE).max(limit),
             can_end_early: true,
+            is_taken_over: outlook.is_taken_over,
         }
     }
 
@@ -135,6 +141,7 @@
             accepting_limit: client_timeout.mul_f64(ACCEPTING_LIMIT_SHARE),
             active_limit: client_timeout.mul_f64(ACTIVE_LIMIT_SHARE),
             can_end_early: true,
+            is_taken_over: outlook.is_taken_over,
         }
     }
 
@@ -152,6 +159,7 @@
             accepting_limit: limit,
             active_limit: limit,
             can_end_early: true,
+            is_taken_over: outlook.is_taken_over,
         }
     }
 
@@ -175,6 +183,7 @@
             accepting_limit: left,
             active_limit: left,
             can_end_early: false,
+            is_taken_over: false,
         }
     }
 
@@ -231,6 +240,10 @@
                 probe_at = now + probe_interval;
                 continue;
             }
+            if self.is_taken_over && gateway.is_shutting_down() {
+                probe_at = now + probe_interval;
+                continue;
+            }
             let id = &awaited.target.target;
             let is_active = gateway.targets.borrow().has_received_since(id, since);
             let limit = if is_active {
--- a/crates/daemon/src/gateway/handover/codec.rs
+++ b/crates/daemon/src/gateway/handover/codec.rs
@@ -211,6 +211,7 @@
         shared_parts: message.shared_parts.iter().map(PromptPartId::new).collect(),
         arrived_at: Instant::from_start(now.since_start().saturating_sub(age)),
         deadline: now + time_left,
+        may_run: Rc::default(),
     };
     Ok((request, Rc::new(origin)))
 }
--- a/crates/daemon/src/gateway/handover/replies.rs
+++ b/crates/daemon/src/gateway/handover/replies.rs
@@ -35,7 +35,7 @@
 /// Builds the response for the peer if the attempt has failed.
 pub fn error_response(error: GatewayError, origin: &Origin) -> Response<BoxBody> {
     let outcome = match error {
-        GatewayError::TargetFailed => Outcome::Broken,
+        GatewayError::TargetFailed | GatewayError::Interrupted => Outcome::Broken,
         GatewayError::TimedOut => Outcome::NoResponse,
         _ if origin.was_sent.get() => Outcome::NotExecuted,
         _ => Outcome::NotSent,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -71,6 +71,7 @@
         reachability::Reachability,
         retry_budget::{RetryBudget, RetryLimits},
         routes::RouteTable,
+        shutdown::Shutdown,
         target_list::TargetList,
         targets::Targets,
         watchers::Watchers,
@@ -101,10 +102,6 @@
 /// Largest such time, as a share of the time in which a configuration must be in force.
 const MAX_DEFERRAL_SHARE: f64 = 0.2;
 
-/// Share of the time from SIGTERM to SIGKILL in which the instance still accepts
-/// requests on open connections. The rest is for their responses.
-const ACCEPTING_SHUTDOWN_SHARE: f64 = 0.3;
-
 /// Age up to which peers report events. The clock must be able to express their times,
 /// also if they are before the start of this process.
 const REPORTED_PAST: Duration = Duration::from_secs(3_600);
@@ -206,8 +203,12 @@
     gossip_schedule: RefCell<Schedule>,
     /// Wakes the gossip sender after a change of its schedule.
     gossip_scheduled: Notify,
-    /// Time at which SIGTERM was received; none before.
-    shutdown_started_at: Cell<Option<Instant>>,
+    /// Times of the shutdown; none before SIGTERM.
+    shutdown: Cell<Option<Shutdown>>,
+    /// Notified when the shutdown begins.
+    shutdown_begun: Notify,
+    /// Whether the process ends now and takes no further request.
+    is_ending: Cell<bool>,
     /// Client connections.
     connections: Connections,
     /// Memory that is held for clients and targets.
@@ -277,7 +278,9 @@
             load_changed: Notify::new(),
             gossip_schedule: RefCell::default(),
             gossip_scheduled: Notify::new(),
-            shutdown_started_at: Cell::new(None),
+            shutdown: Cell::new(None),
+            shutdown_begun: Notify::new(),
+            is_ending: Cell::new(false),
             connections: Connections::with_limits(door_limits::for_clients(&settings.limits, None)),
             memory: memory::Memory::new(settings.limits.memory_mb),
             requests_in_progress: Cell::new(0),
@@ -289,7 +292,7 @@
     /// target list are loaded, and no shutdown is in progress.
     pub fn is_ready(&self) -> bool {
         let loaded = self.route_table.borrow().is_some() && self.target_list_loaded.get();
-        loaded && self.shutdown_started_at.get().is_none()
+        loaded && !self.is_shutting_down()
     }
 
     /// Route table of the configuration in force.
@@ -511,14 +514,31 @@
 
     /// Whether too little of the shutdown grace period is left to accept a request.
     fn refuses_requests(&self, now: Instant) -> bool {
-        let grace = self.settings.borrow().bounds.shutdown_grace;
-        let shutdown_started_at = self.shutdown_started_at.get();
-        shutdown_started_at
-            .is_some_and(|since| now - since > grace.mul_f64(ACCEPTING_SHUTDOWN_SHARE))
+        let shutdown = self.shutdown.get();
+        self.is_ending.get() || shutdown.is_some_and(|shutdown| shutdown.refuses(now))
+    }
+
+    /// Whether too little of the shutdown grace period is left for a request that no target
+    /// has got, and whose response is expected to begin after `estimate`.
+    fn is_too_late(&self, estimate: Duration) -> bool {
+        let now = self.clock.now();
+        let shutdown = self.shutdown.get();
+        shutdown.is_some_and(|shutdown| shutdown.is_too_late(estimate, now))
+    }
+
+    /// Waits until the requests in progress must get their final answers, as the process ends.
+    async fn wait_for_final_answers(&self) {
+        loop {
+            let begun = self.shutdown_begun.notified();
+            if let Some(shutdown) = self.shutdown.get() {
+                return actix_rt::time::sleep(self.clock.until(shutdown.answers_at)).await;
+            }
+            begun.await;
+        }
     }
 
     fn is_shutting_down(&self) -> bool {
-        self.shutdown_started_at.get().is_some()
+        self.shutdown.get().is_some()
     }
 }
 
--- a/crates/daemon/src/gateway/request/attempts.rs
+++ b/crates/daemon/src/gateway/request/attempts.rs
@@ -119,6 +119,7 @@
             estimate: self.estimate,
             is_long: self.is_long,
             can_retry: self.can_retry(request),
+            is_taken_over: self.origin.is_some(),
         }
     }
 
@@ -133,7 +134,10 @@
         last_event_id: Option<&HeaderValue>,
     ) -> Result<Exchange, RequestError> {
         loop {
+            request.may_run.set(self.may_have_executed);
             if let Some(peer) = self.choose_peer(request).await? {
+                self.check_shutdown(Duration::ZERO)?;
+                request.may_run.set(true);
                 match self.hand_over(request, &peer, last_event_id).await {
                     Ok(exchange) => return Ok(exchange),
                     Err(failure) => self.record_peer_failure(request, &peer, failure)?,
@@ -146,6 +150,8 @@
             if self.gateway.has_refused_part(&request.shared_parts) {
                 return Err(self.refused_part_error(request));
             }
+            self.check_shutdown(placement.estimate)?;
+            request.may_run.set(true);
             self.estimate = placement.estimate;
             self.is_long = placement.long;
             self.trace_placement(request, &placement);
@@ -165,6 +171,18 @@
         }
     }
 
+    /// Checks that a response which begins after `estimate` comes before this process ends.
+    ///
+    /// # Errors
+    ///
+    /// If it does not, and no target has got the request.
+    pub fn check_shutdown(&self, estimate: Duration) -> Result<(), RequestError> {
+        match !self.may_have_executed && self.gateway.is_too_late(estimate) {
+            true => Err(RequestError::Gateway(GatewayError::ShuttingDown)),
+            false => Ok(()),
+        }
+    }
+
     /// Chooses the peer that the next attempt is handed over to; none if this instance
     /// makes it. Waits while it is not known whether the targets can be reached.
     ///
--- a/crates/daemon/src/gateway/request/placing.rs
+++ b/crates/daemon/src/gateway/request/placing.rs
@@ -56,6 +56,7 @@
             }
             let engines = self.count_engines(request);
             let wait = entry.expected_wait(engines);
+            self.check_shutdown(wait)?;
             if patience.is_exhausted(wait, self.gateway.clock.now()) {
                 return Err(self.overloaded_error(request, wait));
             }
--- a/crates/daemon/src/gateway/request/prepare.rs
+++ b/crates/daemon/src/gateway/request/prepare.rs
@@ -1,6 +1,6 @@
 //! Turns what a client sent into a request that can be placed.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use actix_http::{HttpMessage, Request};
 use cyclamengauge_core::{
@@ -48,6 +48,7 @@
     request: &mut Request,
     id: SmolStr,
     trace: &Rc<Trace>,
+    may_run: &Rc<Cell<bool>>,
     arrived_at: Instant,
 ) -> Result<ClientRequest, GatewayError> {
     let table = gateway.route_table().ok_or(GatewayError::NotConfigured)?;
@@ -66,6 +67,10 @@
     let latest = deadline.min(arrived_at + BODY_TIMEOUT);
     let received =
         client_body::receive(gateway, request, account.as_ref(), max_bytes, latest).await?;
+    // The body may have taken a while.
+    if gateway.refuses_requests(gateway.clock.now()) {
+        return Err(GatewayError::ShuttingDown);
+    }
     let uri = parse_uri(request, &id)?;
     let fingerprint = compute_fingerprint(&uri, account.as_ref(), &received.body);
     if gateway
@@ -115,6 +120,7 @@
         shared_parts,
         arrived_at,
         deadline,
+        may_run: Rc::clone(may_run),
     })
 }
 
--- a/crates/daemon/src/gateway/request/serve.rs
+++ b/crates/daemon/src/gateway/request/serve.rs
@@ -1,6 +1,6 @@
 //! Client requests, and those of peers, from arrival to response.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use actix_http::{
     HttpMessage, Request, Response,
@@ -49,23 +49,42 @@
     let id = prepare::header_text(request.headers(), headers::REQUEST_ID);
     let id = SmolStr::new(id.unwrap_or_default());
     let trace = Trace::begin(&gateway.request_log, id.clone());
-    let prepared = prepare::prepare(gateway, &mut request, id, &trace, arrived_at).await;
-    let served = match prepared {
-        Ok(client_request) => {
-            gateway.record_request(&client_request);
-            match client_request.route.kind.is_stream() {
-                true => serve_stream(gateway, client_request, None, in_progress).await,
-                false => serve_plain(gateway, &client_request, None).await,
-            }
+    let may_run = Rc::<Cell<bool>>::default();
+    let serving = async {
+        let prepared =
+            prepare::prepare(gateway, &mut request, id, &trace, &may_run, arrived_at).await;
+        let client_request = prepared.map_err(RequestError::Gateway)?;
+        gateway.record_request(&client_request);
+        match client_request.route.kind.is_stream() {
+            true => serve_stream(gateway, client_request, None, in_progress).await,
+            false => serve_plain(gateway, &client_request, None).await,
         }
-        Err(error) => Err(RequestError::Gateway(error)),
     };
+    let served = until_shutdown(gateway, &may_run, serving).await;
     if let Err(error) = &served {
         trace_error(&trace, error);
     }
     served
 }
 
+/// Waits for the response to a request, or until the process must answer it as it ends.
+async fn until_shutdown(
+    gateway: &Gateway,
+    may_run: &Cell<bool>,
+    serving: impl Future<Output = Result<Response<BoxBody>, RequestError>>,
+) -> Result<Response<BoxBody>, RequestError> {
+    tokio::select! {
+        biased;
+        served = serving => served,
+        () = gateway.wait_for_final_answers() => {
+            Err(RequestError::Gateway(match may_run.get() {
+                true => GatewayError::Interrupted,
+                false => GatewayError::ShuttingDown,
+            }))
+        }
+    }
+}
+
 /// Takes a request that a peer hands over, and makes its attempt.
 pub async fn handle_peer(gateway: Rc<Gateway>, request: Request) -> Response<BoxBody> {
     match handover::take(&gateway, request).await {
@@ -82,19 +101,21 @@
     } = taken;
     let in_progress = InProgressGuard::for_peer(gateway, guard);
     let trace = Rc::clone(&request.trace);
-    let served = match gateway.refuses_requests(gateway.clock.now()) {
-        true => Err(RequestError::Gateway(GatewayError::ShuttingDown)),
-        false => match request.route.kind.is_stream() {
+    let may_run = Rc::clone(&request.may_run);
+    let serving = async {
+        if gateway.refuses_requests(gateway.clock.now()) {
+            return Err(RequestError::Gateway(GatewayError::ShuttingDown));
+        }
+        match request.route.kind.is_stream() {
             true => serve_stream(gateway, request, Some(&origin), in_progress).await,
-            false => serve_plain(gateway, &request, Some(&origin))
-                .await
-                .map(|response| {
-                    // The body has been read to its end.
-                    handover::mark_answered(response, &origin, true)
-                }),
-        },
+            false => {
+                let response = serve_plain(gateway, &request, Some(&origin)).await?;
+                // The body has been read to its end.
+                Ok(handover::mark_answered(response, &origin, true))
+            }
+        }
     };
-    match served {
+    match until_shutdown(gateway, &may_run, serving).await {
         Ok(response) => response,
         Err(error) => {
             trace_error(&trace, &error);
--- a/crates/daemon/src/gateway/response/error.rs
+++ b/crates/daemon/src/gateway/response/error.rs
@@ -56,6 +56,8 @@
     MemoryShort(Duration),
     /// The instance is shutting down.
     ShuttingDown,
+    /// The process ends before the response is complete; the request may have been executed.
+    Interrupted,
     /// A target failed; the request may have been executed.
     TargetFailed,
     /// The deadline passed; the request may have been executed.
@@ -84,6 +86,7 @@
             Self::PromptTooLong => "prompt-too-long",
             Self::MemoryShort(_) => "memory-short",
             Self::ShuttingDown => "shutting-down",
+            Self::Interrupted => "interrupted",
             Self::TargetFailed => "target-failed",
             Self::TimedOut => "timed-out",
         }
@@ -97,7 +100,7 @@
             Self::NoRoute => 404,
             Self::BodyTooSlow => 408,
             Self::BodyTooLarge => 413,
-            Self::TargetFailed => 502,
+            Self::TargetFailed | Self::Interrupted => 502,
             Self::TimedOut => 504,
             Self::NotConfigured
             | Self::StaleConfiguration
@@ -138,6 +141,7 @@
             | Self::BadRequest
             | Self::BodyTooSlow
             | Self::BodyTooLarge
+            | Self::Interrupted
             | Self::TargetFailed
             | Self::TimedOut => None,
         }
@@ -158,7 +162,7 @@
 
     fn execution_state(self) -> ExecutionState {
         match self {
-            Self::TargetFailed | Self::TimedOut => ExecutionState::Unknown,
+            Self::Interrupted | Self::TargetFailed | Self::TimedOut => ExecutionState::Unknown,
             _ => ExecutionState::NotExecuted,
         }
     }
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -5,6 +5,7 @@
 use actix_http::{Request, Response, body::BoxBody};
 use actix_rt::net::UdpSocket;
 use anyhow::Context;
+use cyclamengauge_core::serving::shutdown::Shutdown;
 use cyclamengauge_platform::{headers, settings};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -29,10 +30,6 @@
 /// has run the readiness check twice and sends new connections to other instances.
 const READINESS_DETECTION_DELAY: Duration = Duration::from_millis(2_100);
 
-/// Share of the time from SIGTERM to SIGKILL after which the process exits even if
-/// requests are in progress.
-const MAX_SHUTDOWN_SHARE: f64 = 0.93;
-
 /// Maximum time for which client connections wait for the first configuration and
 /// target list. Clients give up a connection that is not established within 1 s.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(700);
@@ -218,13 +215,15 @@
 
 /// Shuts down gracefully: the readiness check fails, open connections are still
 /// served, and the function returns when no request is in progress or most of the
-/// time until SIGKILL has passed.
+/// time until SIGKILL has passed. Requests that are in progress then have got their final
+/// answers, except for streams that have begun.
 pub async fn shut_down(gateway: &Gateway) {
     let since = gateway.clock.now();
-    gateway.shutdown_started_at.set(Some(since));
-    process_events::log_shutdown(gateway.requests_in_progress.get(), false);
     let grace = gateway.settings.borrow().bounds.shutdown_grace;
-    let latest_exit = since + grace.mul_f64(MAX_SHUTDOWN_SHARE);
+    let shutdown = Shutdown::begin(since, grace);
+    gateway.shutdown.set(Some(shutdown));
+    gateway.shutdown_begun.notify_waiters();
+    process_events::log_shutdown(gateway.requests_in_progress.get(), false);
     let earliest_exit = since + MIN_SHUTDOWN_DURATION;
     loop {
         actix_rt::time::sleep(IDLE_POLL_INTERVAL).await;
@@ -233,13 +232,15 @@
         if now - since >= READINESS_DETECTION_DELAY {
             gateway.connections.close_idle();
         }
-        let idle = gateway.requests_in_progress.get() == 0;
-        if now >= latest_exit || (idle && now >= earliest_exit) {
+        // The last responses are complete, but their bytes may still be unsent, so the process
+        // ends one interval later. Requests that arrive in it are refused.
+        let is_idle = gateway.requests_in_progress.get() == 0;
+        let was_ending = gateway.is_ending.replace(is_idle && now >= earliest_exit);
+        if now >= shutdown.ends_at || (was_ending && is_idle) {
             break;
         }
     }
-    // The last responses are complete, but their bytes may still be unsent.
-    actix_rt::time::sleep(IDLE_POLL_INTERVAL).await;
+    gateway.is_ending.set(true);
     gateway.request_log.write_placements();
     process_events::log_shutdown(gateway.requests_in_progress.get(), true);
 }
