Own interface: odd entries are left out, and the rest is followed

What callers would see: one entry of the platform's instance list with a value of another type, and all instances stop following the list, without a log line; a configuration row of another writer is adopted unchecked, or, if it can't be read, keeps operators from putting another one in force; numbers in an engine's report overflow.

Cause: list and row were parsed as a whole and errors dropped; the check of declarations ran for plans only.

Change: entries are parsed one by one. A row is checked as a plan is, and logged when it is left out. A confirmation replaces a row that can't be read, as if it held the configuration in force. Counts of reports saturate.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -233,7 +233,7 @@
             self.process_failure(attempt, super::Failure::OutOfSequence, now);
             return (Delivery::Drop, self.take_actions());
         }
-        state.delivered_tokens += count;
+        state.delivered_tokens = state.delivered_tokens.saturating_add(count);
         state.last_progress_at = now;
         if state.is_isolated {
             self.clear_isolated_suspect(id, now);
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -176,12 +176,12 @@
 
     /// Number of requests of all instances, those of peers as of the last report.
     pub fn requests(&self) -> u32 {
-        self.own_requests() + self.peer_running + self.peer_waiting
+        self.own_requests().saturating_add(self.peer_requests())
     }
 
     /// Number of requests of peers as of the last report.
     pub fn peer_requests(&self) -> u32 {
-        self.peer_running + self.peer_waiting
+        self.peer_running.saturating_add(self.peer_waiting)
     }
 
     /// Prefill tokens of this instance's requests that have no first token yet.
--- a/crates/core/src/routing/plan.rs
+++ b/crates/core/src/routing/plan.rs
@@ -445,7 +445,9 @@
 
 fn slot_wait(engine: &Engine) -> f64 {
     let requests = engine.load.requests();
-    let excess = (requests + 1).saturating_sub(engine.facts.slots);
+    let excess = requests
+        .saturating_add(1)
+        .saturating_sub(engine.facts.slots);
     f64::from(excess) * MEAN_SLOT_TIME.as_secs_f64() / f64::from(engine.facts.slots.max(1))
 }
 
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -3,6 +3,10 @@
 
 use std::{rc::Rc, time::Duration};
 
+use anyhow::Context;
+use cyclamengauge_core::intent;
+use cyclamengauge_schema::v1;
+
 use crate::{control, node::Node, operators};
 
 /// Mean time between two reads while the table service responds.
@@ -32,8 +36,28 @@
     }
 }
 
+/// Parses the row of the configuration; none if it does not exist.
+///
+/// # Errors
+///
+/// If the row is no configuration, or its declaration has a fault that the check of a plan
+/// would have found.
+fn parse(row: &v1::Row) -> anyhow::Result<Option<v1::Accepted>> {
+    if row.version == 0 {
+        return Ok(None);
+    }
+    let accepted: v1::Accepted =
+        serde_json::from_slice(&row.value).context("parse the configuration")?;
+    let declaration = accepted.declaration.as_ref();
+    let declaration = declaration.context("read the configuration: it has no declaration")?;
+    if let Some(fault) = intent::check(declaration).first() {
+        anyhow::bail!("check the configuration: {fault}");
+    }
+    Ok(Some(accepted))
+}
+
 /// Reads and adopts the configuration; returns whether the table service responded. A
-/// row that cannot be parsed is ignored.
+/// row that holds no valid configuration is ignored.
 async fn read_once(node: &Rc<Node>) -> bool {
     let read_started_at = node.clock.now();
     match node.platform.get(operators::CONFIGURATION_KEY).await {
@@ -42,14 +66,22 @@
             false
         }
         Ok(row) => {
-            let accepted: Option<cyclamengauge_schema::v1::Accepted> =
-                serde_json::from_slice(&row.value).ok();
-            if let Some(accepted) = accepted {
-                let version = accepted.version;
-                node.adopt_configuration(accepted);
-                node.current_configuration
-                    .borrow_mut()
-                    .record_verified(version, read_started_at);
+            match parse(&row) {
+                Ok(None) => {}
+                Ok(Some(accepted)) => {
+                    let version = accepted.version;
+                    node.adopt_configuration(accepted);
+                    node.current_configuration
+                        .borrow_mut()
+                        .record_verified(version, read_started_at);
+                }
+                Err(err) => {
+                    tracing::warn!(
+                        row_version = row.version,
+                        "platform: row {} left out, the configuration in force, if any, stays: {err:#}",
+                        row.key
+                    )
+                }
             }
             true
         }
--- a/crates/daemon/src/control/discovery.rs
+++ b/crates/daemon/src/control/discovery.rs
@@ -12,11 +12,20 @@
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the list periodically until the daemon exits. A failed read is skipped: the
-/// last list stays in use.
+/// last list stays in use. The first failure after a success is logged.
 pub(super) async fn refresh(node: Rc<Node>) {
+    let mut is_failing = false;
     loop {
-        if let Ok(list) = node.platform.list_instances().await {
-            apply(&node, &list);
+        match node.platform.list_instances().await {
+            Ok(list) => {
+                apply(&node, &list);
+                is_failing = false;
+            }
+            Err(err) => {
+                if !std::mem::replace(&mut is_failing, true) {
+                    tracing::warn!(%err, "platform: reading the instances failed; the last list stays");
+                }
+            }
         }
         actix_rt::time::sleep(control::jittered_interval(&node, READ_INTERVAL)).await;
     }
--- a/crates/daemon/src/engines/reports.rs
+++ b/crates/daemon/src/engines/reports.rs
@@ -107,7 +107,7 @@
             model: SmolStr::new(&report.model),
             version: SmolStr::new(&report.version),
             draining: report.draining,
-            running: report.running + report.waiting,
+            running: report.running.saturating_add(report.waiting),
         };
         (id.clone(), state)
     });
--- a/crates/daemon/src/operators/plans.rs
+++ b/crates/daemon/src/operators/plans.rs
@@ -120,8 +120,7 @@
             ConfirmationStep::Read => match node.platform.get(CONFIGURATION_KEY).await {
                 Ok(row) => {
                     row_version = row.version;
-                    let accepted = serde_json::from_slice(&row.value).ok();
-                    ConfirmationEvent::Read(accepted.map(Box::new))
+                    ConfirmationEvent::Read(stored_configuration(node, &row).map(Box::new))
                 }
                 Err(_) => ConfirmationEvent::ReadFailed,
             },
@@ -142,6 +141,25 @@
     }
 }
 
+/// The configuration in its row; none if there is no row. A row that another writer has made
+/// unreadable counts as holding the configuration in force, so that the next one can replace it.
+fn stored_configuration(node: &Node, row: &v1::Row) -> Option<v1::Accepted> {
+    if row.version == 0 {
+        return None;
+    }
+    match serde_json::from_slice(&row.value) {
+        Ok(accepted) => Some(accepted),
+        Err(err) => {
+            let row_version = row.version;
+            tracing::warn!(
+                row_version,
+                "config: row {CONFIGURATION_KEY} can't be read and will be replaced: {err}"
+            );
+            node.current_configuration.borrow().accepted().cloned()
+        }
+    }
+}
+
 async fn load_plan(node: &Node, id: &str) -> Result<v1::Plan, String> {
     let result = node.platform.get_object(&plan_object_name(id)).await;
     let encoded_plan = result
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -11,6 +11,8 @@
 use bytes::Bytes;
 use cyclamengauge_core::error::Error;
 use cyclamengauge_schema::v1;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use crate::http;
 
@@ -154,16 +156,16 @@
         }
     }
 
-    /// Reads the list of live and leaving instances.
+    /// Reads the list of live and leaving instances. Entries that can't be read are left out.
     ///
     /// # Errors
     ///
-    /// If the platform does not respond or its response is invalid.
+    /// If the platform does not respond or its response is no list.
     pub async fn list_instances(&self) -> Result<v1::InstanceList, RequestError> {
         let request = self.client.get(&self.instances_url).timeout(self.timeout);
         let (status, body) = self.send_request("read instances", request.send()).await?;
         match status {
-            200 => parse_json("read instances", &body),
+            200 => parse_instances(&body),
             _ => Err(outcome_unknown(
                 "read instances",
                 format!("status {status}"),
@@ -195,6 +197,32 @@
     RequestError::OutcomeUnknown(Error::new(step, cause).with_peer("platform"))
 }
 
+/// The list of instances, whose entries are parsed one by one: other writers choose what is
+/// in them.
+#[derive(Deserialize)]
+struct WireInstanceList<'a> {
+    #[serde(borrow, default)]
+    instances: Vec<&'a RawValue>,
+}
+
+fn parse_instances(body: &[u8]) -> Result<v1::InstanceList, RequestError> {
+    let step = "read instances";
+    let list: WireInstanceList<'_> =
+        serde_json::from_slice(body).map_err(|err| outcome_unknown(step, err.to_string()))?;
+    let entries = list.instances.into_iter().enumerate();
+    let instances = entries.filter_map(|(index, entry)| {
+        let parsed = serde_json::from_str::<v1::ListedInstance>(entry.get());
+        parsed
+            .inspect_err(|err| {
+                tracing::warn!(index, %err, "platform: entry {index} of the instance list left out")
+            })
+            .ok()
+    });
+    Ok(v1::InstanceList {
+        instances: instances.collect(),
+    })
+}
+
 fn parse_json<T: serde::de::DeserializeOwned>(step: &str, body: &[u8]) -> Result<T, RequestError> {
     serde_json::from_slice(body).map_err(|err| outcome_unknown(step, err.to_string()))
 }
--- a/crates/load/src/standins/platform.rs
+++ b/crates/load/src/standins/platform.rs
@@ -36,7 +36,8 @@
 struct State {
     rows: RefCell<BTreeMap<String, v1::Row>>,
     objects: RefCell<BTreeMap<String, Bytes>>,
-    instances: RefCell<v1::InstanceList>,
+    /// List of instances as it was written.
+    instances: RefCell<Bytes>,
     reads: Cell<u64>,
     writes: Cell<u64>,
     down: Cell<bool>,
@@ -88,15 +89,13 @@
             state.objects.borrow_mut().insert((*name).to_owned(), body);
             http::text(200, "written\n")
         }
-        ("GET", ["v1", "instances"]) => http::json(
-            200,
-            serde_json::to_vec(&*state.instances.borrow()).unwrap_or_default(),
-        ),
+        ("GET", ["v1", "instances"]) => match state.instances.borrow().clone() {
+            unwritten if unwritten.is_empty() => http::json(200, "{}"),
+            list => http::json(200, list),
+        },
         ("PUT", ["v1", "instances"]) => {
             let body = server::body(&mut request).await;
-            if let Ok(list) = serde_json::from_slice(&body) {
-                *state.instances.borrow_mut() = list;
-            }
+            state.instances.replace(body);
             http::text(200, "written\n")
         }
         _ => http::text(404, "not found\n"),
