Own interface: an engine's lines without an end no longer hold a daemon

What callers saw: readiness checks without an answer for 0.65 s beside an engine that sent one line in chunks of 8 bytes (debug build, beside load; the users' check allows 0.5 s).

Cause: the reader of events searched its whole buffer again for each chunk, so a line of 1 MiB in chunks of one byte costs half a million million comparisons; and a task that always finds data ready reads on for as long as the runtime lets it.

Change: the reader remembers how far it has searched. Bodies and streams of engines, targets, the platform and clients let others have their turn after 32 KiB, with 64 bytes counted for each chunk.

--- a/crates/daemon/src/engines/attempt.rs
+++ b/crates/daemon/src/engines/attempt.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     engines::{self, Event, EventReader},
+    http,
     node::{Node, ResponseEvent, TextChunk},
 };
 
@@ -144,7 +145,9 @@
         return AttemptEnd::Failed(Failure::Rejected);
     }
     let mut reader = EventReader::default();
+    let mut turn = http::BodyTurn::default();
     while let Some(Ok(bytes)) = response.next().await {
+        turn.record(&bytes).await;
         reader.push(&bytes);
         while let Some(event) = reader.next_event() {
             if let Some(end) = handle_event(node, outgoing, &attempt_name, event).await {
--- a/crates/daemon/src/engines/response_events.rs
+++ b/crates/daemon/src/engines/response_events.rs
@@ -93,6 +93,8 @@
 #[derive(Debug, Default)]
 pub struct EventReader {
     buffer: BytesMut,
+    /// Start of the buffer that is known to have no end of a line, in bytes.
+    searched: usize,
 }
 
 impl EventReader {
@@ -104,11 +106,14 @@
     /// Returns the next complete event; none until more bytes arrive.
     pub fn next_event(&mut self) -> Option<Event> {
         loop {
-            let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') else {
+            let mut unsearched = self.buffer[self.searched..].iter();
+            let Some(length) = unsearched.position(|byte| *byte == b'\n') else {
+                self.searched = self.buffer.len();
                 let oversized = self.buffer.len() > MAX_LINE_BYTES;
                 return oversized.then_some(Event::Malformed);
             };
-            let line = self.buffer.split_to(end + 1);
+            let line = self.buffer.split_to(self.searched + length + 1);
+            self.searched = 0;
             if let Some(event) = parse_line(&line) {
                 return Some(event);
             }
--- a/crates/daemon/src/http/body.rs
+++ b/crates/daemon/src/http/body.rs
@@ -8,6 +8,29 @@
 
 use crate::http::stream;
 
+/// Bytes of a body from which others have their turn, also if more are ready.
+const MAX_TURN_BYTES: usize = 32 * 1024;
+
+/// Size of the framing and handling of a chunk, in bytes of payload.
+const CHUNK_COST_BYTES: usize = 64;
+
+/// What was read of a body in the current turn of its task.
+#[derive(Debug, Default)]
+pub struct BodyTurn {
+    cost_bytes: usize,
+}
+
+impl BodyTurn {
+    /// Records a chunk; lets other tasks and connections have their turn when many were read.
+    pub async fn record(&mut self, chunk: &Bytes) {
+        self.cost_bytes += chunk.len() + CHUNK_COST_BYTES;
+        if self.cost_bytes >= MAX_TURN_BYTES {
+            self.cost_bytes = 0;
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
 /// Reason why a body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -71,8 +94,10 @@
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
     let mut body = BytesMut::new();
+    let mut turn = BodyTurn::default();
     while let Some(chunk) = stream.next().await {
         let chunk = chunk.map_err(|_| BodyError::Broken)?;
+        turn.record(&chunk).await;
         if body.len() + chunk.len() > max_bytes {
             return Err(BodyError::TooLarge);
         }
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -21,7 +21,7 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use anyhow::Context;
 
-pub use body::{BodyError, collect, collect_response};
+pub use body::{BodyError, BodyTurn, collect, collect_response};
 pub use connections::{BusyGuard, ConnectionLimits, Connections};
 pub use response::{event_stream, json, problem, readiness, text};
 use stream::{ClientStream, Exchange, Turns};
