Own interface: requests that outlast a planned stop are told so

What callers saw: when the shutdown timeout was over, the process ended and cut the requests in progress without an answer, also calls that may run once. A call whose body came after the stop had begun was passed on.

Cause: the shutdown waited and then ended, whatever was in progress; calls to services looked at the stop before they read the body only.

Change: when the timeout is over, each request is answered before the process ends: `interrupted` (502, `ran` unknown or partial), or `shutting-down` if no engine has got it. Calls that may run once hear that the outcome is unknown.

Evidence: crates/load/tests/planned_stop: a booking, another call and a completion at targets that say nothing, with a timeout of 3 s.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -16,7 +16,7 @@
     ids::{AttemptId, EngineId, RequestId},
     membership,
     recovery::{local_retry_budget, quarantine, reservation},
-    request::{Refusal, RefusalReason},
+    request::{ExecutionState, Refusal, RefusalReason},
     routing::{self, CacheEvent, Plan},
     timer,
     units::Tokens,
@@ -292,6 +292,23 @@
         self.shutting_down = true;
     }
 
+    /// Ends all requests in progress, as the process ends: each is told whether it was executed.
+    pub fn end_requests(&mut self, now: Instant) -> Vec<Action> {
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in ids {
+            let state = self.requests.get(&id);
+            let (reason, retry_after) = match state.map(RequestState::execution_state) {
+                Some(ExecutionState::NotExecuted) => {
+                    (RefusalReason::ShuttingDown, Some(Duration::ZERO))
+                }
+                _ => (RefusalReason::Interrupted, None),
+            };
+            self.cancel_attempt(id, now);
+            self.refuse_request(id, reason, retry_after, now);
+        }
+        self.take_actions()
+    }
+
     /// Starts an attempt according to `plan`. On a single engine it is sent
     /// immediately, on a group once the memory is reserved.
     pub(crate) fn start_attempt(&mut self, id: RequestId, plan: Plan, now: Instant) {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -114,6 +114,8 @@
     UnderSuspicion,
     /// The instance is shutting down.
     ShuttingDown,
+    /// The process ends before the response is complete.
+    Interrupted,
     /// The deadline passed.
     DeadlineExceeded,
     /// The targets failed, and no retry is allowed.
@@ -124,7 +126,7 @@
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::RateLimited,
         Self::TooManyConcurrent,
         Self::OverFairShare,
@@ -135,6 +137,7 @@
         Self::Quarantined,
         Self::UnderSuspicion,
         Self::ShuttingDown,
+        Self::Interrupted,
         Self::DeadlineExceeded,
         Self::TargetsFailed,
         Self::NotConfigured,
@@ -153,6 +156,7 @@
             Self::Quarantined => "content-quarantined",
             Self::UnderSuspicion => "content-under-suspicion",
             Self::ShuttingDown => "shutting-down",
+            Self::Interrupted => "interrupted",
             Self::DeadlineExceeded => "deadline-exceeded",
             Self::TargetsFailed => "targets-failed",
             Self::NotConfigured => "not-configured",
@@ -166,7 +170,7 @@
             Self::PromptTooLong => 413,
             Self::Quarantined => 422,
             Self::DeadlineExceeded => 504,
-            Self::TargetsFailed => 502,
+            Self::TargetsFailed | Self::Interrupted => 502,
             Self::DeadlineUnreachable
             | Self::InstanceFull
             | Self::NoEngine
--- a/crates/daemon/src/client_api/mod.rs
+++ b/crates/daemon/src/client_api/mod.rs
@@ -82,6 +82,7 @@
             "this content was on an engine that crashed; a verdict is due"
         }
         RefusalReason::ShuttingDown => "this instance is shutting down; another one will serve you",
+        RefusalReason::Interrupted => "this instance ends before the answer is complete",
         RefusalReason::DeadlineExceeded => "the deadline passed",
         RefusalReason::TargetsFailed => "the targets failed and no retry is left",
         RefusalReason::NotConfigured => "this instance has no configuration for the request yet",
--- a/crates/daemon/src/client_api/request_checks.rs
+++ b/crates/daemon/src/client_api/request_checks.rs
@@ -149,7 +149,8 @@
     Ok(body)
 }
 
-fn not_ready_response(node: &Node) -> Response<BoxBody> {
+/// Creates the error response while the instance starts or shuts down.
+pub(crate) fn not_ready_response(node: &Node) -> Response<BoxBody> {
     let reason = match node.shutting_down.get() {
         true => RefusalReason::ShuttingDown,
         false => RefusalReason::NotConfigured,
--- a/crates/daemon/src/client_api/services.rs
+++ b/crates/daemon/src/client_api/services.rs
@@ -63,6 +63,10 @@
         Ok(body) => body,
         Err(error_response) => return error_response,
     };
+    // The body may have taken a while.
+    if node.shutting_down.get() {
+        return request_checks::not_ready_response(&node);
+    }
     let method = awc::http::Method::from_bytes(request.method().as_str().as_bytes());
     let call = ServiceCall {
         service,
@@ -83,9 +87,18 @@
             drop((in_progress, buffered_body));
             response
         });
-        return task.await.unwrap_or_else(|_| outcome_unknown_response());
+        return tokio::select! {
+            biased;
+            response = task => response.unwrap_or_else(|_| outcome_unknown_response()),
+            () = node.wait_for_end() => outcome_unknown_response(),
+        };
     }
-    match call.send_idempotent().await {
+    let sent = tokio::select! {
+        biased;
+        sent = call.send_idempotent() => sent,
+        () = node.wait_for_end() => Err(ExecutionState::Unknown),
+    };
+    match sent {
         Ok(target) => target_response(target.status, &target.content_type, target.body, false),
         Err(ran) => {
             let detail = "no target of the service answered in time";
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -133,6 +133,10 @@
     pub service_calls: Cell<usize>,
     /// Whether the daemon is shutting down.
     pub shutting_down: Cell<bool>,
+    /// Whether the process ends now, and all requests in progress get their final answers.
+    pub is_ending: Cell<bool>,
+    /// Notified when the process ends.
+    pub ending: Notify,
     /// Wakes [`Node::run_timers`] when the next timer may have changed.
     pub timer_changed: Notify,
     /// Wakes the exchange with peers when the configuration version changes.
@@ -171,6 +175,8 @@
             rng: RefCell::default(),
             service_calls: Cell::new(0),
             shutting_down: Cell::new(false),
+            is_ending: Cell::new(false),
+            ending: Notify::new(),
             timer_changed: Notify::new(),
             version_changed: Notify::new(),
             last_request_id: Cell::new(0),
@@ -237,6 +243,24 @@
         !self.shutting_down.get() && self.current_configuration.borrow().version() > 0
     }
 
+    /// Gives the requests in progress their final answers, as the process ends.
+    pub fn end_requests(self: &Rc<Self>) {
+        self.update_dispatcher(|dispatcher, now| dispatcher.end_requests(now));
+        self.is_ending.set(true);
+        self.ending.notify_waiters();
+    }
+
+    /// Waits until the process ends.
+    pub async fn wait_for_end(&self) {
+        loop {
+            let ending = self.ending.notified();
+            if self.is_ending.get() {
+                return;
+            }
+            ending.await;
+        }
+    }
+
     /// Whether no request, reservation or call is in progress.
     pub fn is_idle(&self) -> bool {
         let dispatcher = self.dispatcher.borrow();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -128,7 +128,7 @@
 }
 
 /// Stops admission and waits until all requests in progress have ended, or for the
-/// shutdown timeout of the settings.
+/// shutdown timeout of the settings; those that have not ended by then are told so.
 async fn shut_down(node: &Rc<Node>) -> ExitCode {
     tracing::info!("shutdown: started, no new requests are admitted");
     node.shutting_down.set(true);
@@ -140,9 +140,10 @@
     while !node.is_idle() && node.clock.now() - started_at < timeout {
         actix_rt::time::sleep(IDLE_POLL_INTERVAL).await;
     }
+    let in_progress = node.dispatcher.borrow().in_flight() + node.service_calls.get();
+    node.end_requests();
     // The last responses are complete, but their bytes may not have been sent.
     actix_rt::time::sleep(IDLE_POLL_INTERVAL * 5).await;
-    let in_progress = node.dispatcher.borrow().in_flight();
     if in_progress > 0 {
         tracing::error!(
             left = in_progress,
