gateway: bound what arrives unread, and an engine's answer to an order

Cause: what the system holds unread of a connection counts towards the memory of the users' machines. The answer to an order was read into memory up to 16 MiB, outside the memory budget.

Change: connections to targets, peers and the store have a receive buffer of 128 KiB, of which the system makes twice as much at most. Answers to orders are dropped as they are read, and end at 64 KiB.

The receive buffer and the limit on orders have no test of their own in this commit.

--- a/crates/daemon/src/gateway/attempt/reservations.rs
+++ b/crates/daemon/src/gateway/attempt/reservations.rs
@@ -35,6 +35,9 @@
 /// Time for connecting to an engine, and time for its response to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Largest response to an order; proper ones are a few dozen bytes.
+const MAX_ORDER_RESPONSE_BYTES: usize = 64 * 1024;
+
 /// Maximum number of release orders; after them, the lease expires.
 const MAX_RELEASE_ORDERS: u32 = 3;
 
@@ -180,7 +183,7 @@
         .context("build order request")?;
     let process = gateway.targets.borrow().process(&reservation.target);
     let mut connection = Connection::open(address, ORDER_TIMEOUT).await?;
-    let call = connection.call(request);
+    let call = connection.call(request, MAX_ORDER_RESPONSE_BYTES);
     let response = actix_rt::time::timeout(ORDER_TIMEOUT, call).await;
     let response = response.with_context(|| {
         format!("send order to engine {address}: no response within {ORDER_TIMEOUT:?}")
--- a/crates/daemon/src/gateway/upstream.rs
+++ b/crates/daemon/src/gateway/upstream.rs
@@ -27,16 +27,18 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
-/// Largest response body of the store or of a peer.
-const MAX_TRUSTED_BODY_BYTES: usize = 16 * 1024 * 1024;
-
 /// Largest buffer of a connection, which limits the response head and a single read, in
 /// bytes.
 const MAX_READ_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Receive buffer of a connection, in bytes; the system holds up to twice as much. What has
+/// arrived and is not read counts towards the memory of the machine, and without a size the
+/// system's limits, several megabytes on most machines, would apply to each connection.
+const RECEIVE_BUFFER_BYTES: u32 = 128 * 1024;
+
 /// Bytes from which a connection reads no more before other tasks and connections had
 /// their turn.
 const MAX_TURN_BYTES: u64 = 32 * 1024;
@@ -56,7 +58,15 @@
     /// If the connection is refused or takes longer than `timeout`. No request has
     /// been sent then.
     pub async fn open(address: SocketAddr, timeout: Duration) -> anyhow::Result<Self> {
-        let connecting = actix_rt::time::timeout(timeout, TcpStream::connect(address)).await;
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4(),
+            SocketAddr::V6(_) => TcpSocket::new_v6(),
+        };
+        let socket = socket.with_context(|| format!("open a socket for {address}"))?;
+        socket
+            .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+            .with_context(|| format!("set the receive buffer of the connection to {address}"))?;
+        let connecting = actix_rt::time::timeout(timeout, socket.connect(address)).await;
         let stream = connecting
             .with_context(|| format!("connect to {address}: not connected within {timeout:?}"))?
             .with_context(|| format!("connect to {address}"))?;
@@ -133,24 +143,28 @@
         Ok(None)
     }
 
-    /// Sends a request and waits for the complete response.
+    /// Sends a request and waits for the complete response. Its body is read and dropped.
     ///
     /// # Errors
     ///
-    /// If the connection breaks, or the response is malformed, incomplete or too
-    /// large.
-    pub async fn call(&mut self, request: Request<Full<Bytes>>) -> anyhow::Result<Response<Bytes>> {
+    /// If the connection breaks, or the response is malformed, incomplete or larger than
+    /// `max_bytes`.
+    pub async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> anyhow::Result<Response<()>> {
         let response = self.send(request).await?;
         let (head, mut body) = response.into_parts();
-        let mut bytes = Vec::new();
+        let mut length = 0;
         while let Some(data) = self.next_data(&mut body).await? {
+            length += data.len();
             anyhow::ensure!(
-                bytes.len() + data.len() <= MAX_TRUSTED_BODY_BYTES,
-                "response body exceeds {MAX_TRUSTED_BODY_BYTES} bytes"
+                length <= max_bytes,
+                "response body exceeds {max_bytes} bytes"
             );
-            bytes.extend_from_slice(&data);
         }
-        Ok(Response::from_parts(head, Bytes::from(bytes)))
+        Ok(Response::from_parts(head, ()))
     }
 
     /// Bytes that were handed to the network so far. A request of more bytes has not arrived
