--- a/crates/daemon/tests/clients/main.rs
+++ b/crates/daemon/tests/clients/main.rs
@@ -256,6 +256,7 @@
     NoRoute,
     Readiness,
     Peers,
+    Metrics,
 }
 
 impl Door {
@@ -265,6 +266,7 @@
             Self::NoRoute => (daemon.client_address, NO_ROUTE),
             Self::Readiness => (daemon.readiness_address, headers::READINESS_PATH),
             Self::Peers => (daemon.peer_address, "/requests"),
+            Self::Metrics => (daemon.metrics_address, "/metrics"),
         };
         let header_lines = "X-Request-Id: crowd\r\nX-Deadline-Ms: 60000\r\n\
                             Authorization: Bearer key\r\n";
@@ -341,7 +343,7 @@
 /// Pattern: the same at the paths that are not meant for clients.
 #[test]
 fn other_doors_stay_within_memory() {
-    for door in [Door::NoRoute, Door::Readiness, Door::Peers] {
+    for door in [Door::NoRoute, Door::Readiness, Door::Peers, Door::Metrics] {
         let mixed = [
             (Shape::Body, door),
             (Shape::Chunks(1), door),
--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -10,6 +10,7 @@
 use crate::{
     TARGET_COUNT, Testbed, harness,
     link::LinkState,
+    odd_rows,
     proxy::Impairment,
     store::StoreMode,
     target::{Behaviour, ReceivedRequest},
@@ -122,6 +123,7 @@
             22 => cut(testbed, daemon, LinkState::Open),
             _ => {
                 version += 1;
+                odd_rows::put_odd_targets(&testbed.store);
                 testbed
                     .store
                     .put("op", "config", &harness::configuration(version));
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -19,6 +19,9 @@
 mod harness;
 #[path = "../../../../platform/tests/gateway/link.rs"]
 mod link;
+#[path = "../../../../platform/tests/gateway/odd_rows.rs"]
+#[allow(dead_code)]
+mod odd_rows;
 #[path = "../../../../platform/tests/gateway/process.rs"]
 #[allow(dead_code)]
 mod process;
@@ -135,6 +138,8 @@
         targets.push(target);
         target_proxies.push(proxy);
     }
+    odd_rows::put_odd_targets(&store);
+    odd_rows::put_odd_rows(&store);
     store.put("op", "config", &harness::configuration(1));
     let program = Path::new(env!("CARGO_BIN_EXE_cyclamengauged"));
     let (mut processes, mut store_proxies) = (Vec::new(), Vec::new());
