--- a/crates/core/src/serving/shutdown.rs
+++ b/crates/core/src/serving/shutdown.rs
@@ -21,8 +21,6 @@
     /// Times of a shutdown. Invariant: they are in the order of the fields.
     #[derive(Copy, Eq)]
     pub struct Shutdown {
-        /// Time at which the process was told to stop.
-        pub started_at: Instant,
         /// Time from which new requests are refused.
         pub refuses_at: Instant,
         /// Time at which the requests in progress get their final answers.
@@ -38,7 +36,6 @@
     pub fn begin(now: Instant, grace: Duration) -> Self {
         let ends_after = grace.mul_f64(RUNNING_SHARE);
         Self {
-            started_at: now,
             refuses_at: now + grace.mul_f64(ACCEPTING_SHARE),
             answers_at: now + ends_after.saturating_sub(grace.mul_f64(ANSWERING_SHARE)),
             ends_at: now + ends_after,
--- a/crates/core/tests/serving/main.rs
+++ b/crates/core/tests/serving/main.rs
@@ -21,6 +21,7 @@
 mod reachability;
 mod retry_budget;
 mod routes;
+mod shutdown;
 mod simulation;
 mod store_calls;
 mod target_limits;
