--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -256,6 +256,7 @@
         process_events::log_target_listed(&facts, "the store");
         process_events::log_target_unlisted(&target_id(), TEST_DURATION);
         process_events::log_target_entry_faulty("t1", &err);
+        process_events::log_rows_unreadable(&"targets", 1);
         process_events::log_target_suspect(&target_id(), "silent", TEST_DURATION);
         process_events::log_target_crashed("r1", &[PromptPartId::new("p1")], &target_id(), &err);
         process_events::log_crash_ruled_out("r1", &target_id());
