dispatch: a probe that saw no end is no proof that an engine lives

Cause: each broken attempt sends a probe of its own, and any of them released all suspended attempts of the engine. One that found the listener still open, or whose connection broke while it was opened, released the content without suspicion. A single release is enough for four engines: the third crash within 2 s counts as a mass failure and asks for one more.

Change: only probes that started after an attempt broke release it, and a silent engine must have been silent for 0.5 s; until then it is probed again. A connection that breaks while it is opened counts as broken, not as silent.

Evidence: request_on_an_engine_that_ends_is_suspected_whatever_other_probes_saw fails without the two conditions (it was sent again at once) and passes now.

--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -434,7 +434,7 @@
         let Some(state) = self.requests.get(&id) else {
             return;
         };
-        let is_sent = matches!(state.phase, Phase::Running | Phase::Suspended);
+        let is_sent = matches!(state.phase, Phase::Running | Phase::Suspended { .. });
         if let (true, Some(attempt)) = (is_sent, state.attempt) {
             let engines = state.engines();
             self.actions.push(Action::Cancel { attempt, engines });
--- a/crates/core/src/dispatch/failures.rs
+++ b/crates/core/src/dispatch/failures.rs
@@ -13,6 +13,11 @@
 /// Number of failed attempts after which a request is refused.
 const MAX_FAILED_ATTEMPTS: u32 = 4;
 
+/// Time for which an engine must be silent after a connection broke before its attempts are
+/// retried without suspicion. The system may close the listener of a process that ends a while
+/// after its connections; several probes may see that differently.
+const MIN_SILENCE: Duration = Duration::from_millis(500);
+
 /// Time after which a client may resend a request whose targets failed.
 const RETRY_AFTER_TARGETS_FAILED: Duration = Duration::from_secs(2);
 
@@ -28,13 +33,16 @@
         self.take_actions()
     }
 
-    /// Processes the result of a probe: retries suspended attempts if the engine is
-    /// alive in the known incarnation or silent, treats it as crashed otherwise. Attempts on a
-    /// silent engine go on until they stall: silence is no proof against their content.
+    /// Processes the result of a probe that was started at `started_at`: treats the engine as
+    /// crashed if it is dead or in another incarnation. Suspended attempts are retried if they
+    /// broke before the probe of an engine that is alive, or a while ago on a silent one.
+    /// Other attempts on a silent engine go on until they stall: silence is no proof against
+    /// their content.
     pub fn handle_probe_result(
         &mut self,
         engine: &EngineId,
         result: ProbeResult,
+        started_at: Instant,
         now: Instant,
     ) -> Vec<Action> {
         let known_incarnation = self.membership.incarnation(engine);
@@ -42,13 +50,16 @@
             ProbeResult::Alive { incarnation }
                 if known_incarnation.is_none_or(|known| known == incarnation) =>
             {
-                self.handle_broken_connection(engine, now);
+                self.retry_suspended(engine, now, |since| since <= started_at);
             }
             ProbeResult::Alive { .. } => self.process_engine_crash(engine, now),
             ProbeResult::Silent => {
                 self.membership.record_connection_failure(engine);
                 self.refresh_availability(engine, now);
-                self.handle_broken_connection(engine, now);
+                self.retry_suspended(engine, now, |since| now - since >= MIN_SILENCE);
+                if !self.suspended_requests(engine, |_| true).is_empty() {
+                    self.actions.push(Action::Probe(engine.clone()));
+                }
             }
             ProbeResult::Dead => {
                 let is_new_crash = self.membership.mark_dead(engine);
@@ -75,7 +86,7 @@
         };
         match failure {
             Failure::Broken => {
-                state.phase = Phase::Suspended;
+                state.phase = Phase::Suspended { since: now };
                 self.actions.push(Action::Probe(lead));
             }
             Failure::NotSent => {
@@ -153,19 +164,28 @@
         self.refuse_request(id, RefusalReason::TargetsFailed, retry_after, now);
     }
 
-    /// Retries the suspended attempts on an engine that is alive. Only the
-    /// connection broke, so no request becomes a suspect.
-    fn handle_broken_connection(&mut self, engine: &EngineId, now: Instant) {
-        for id in self.suspended_requests(engine) {
+    /// Retries the attempts on an engine that are suspended since a time that `is_due` accepts.
+    /// Only the connection broke, so no request becomes a suspect.
+    fn retry_suspended(
+        &mut self,
+        engine: &EngineId,
+        now: Instant,
+        is_due: impl Fn(Instant) -> bool,
+    ) {
+        for id in self.suspended_requests(engine, is_due) {
             self.cancel_attempt(id, now);
             self.retry_attempt(id, now);
         }
     }
 
-    fn suspended_requests(&self, engine: &EngineId) -> Vec<RequestId> {
+    fn suspended_requests(
+        &self,
+        engine: &EngineId,
+        is_due: impl Fn(Instant) -> bool,
+    ) -> Vec<RequestId> {
         let on_engine = self.requests.iter().filter(|(_, state)| state.uses(engine));
         on_engine
-            .filter(|(_, state)| state.phase == Phase::Suspended)
+            .filter(|(_, state)| matches!(state.phase, Phase::Suspended { since } if is_due(since)))
             .map(|(id, _)| *id)
             .collect()
     }
--- a/crates/core/src/dispatch/request_state.rs
+++ b/crates/core/src/dispatch/request_state.rs
@@ -17,9 +17,12 @@
     Reserving,
     /// The current attempt was sent.
     Running,
-    /// The connection broke; the result of a probe decides whether the engine
-    /// crashed.
-    Suspended,
+    /// The connection broke; the result of a probe that starts later decides whether the
+    /// engine crashed.
+    Suspended {
+        /// Time at which the break was noticed.
+        since: Instant,
+    },
     /// The request was in flight on an engine that crashed, and waits to run
     /// isolated.
     Suspect,
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -72,6 +72,7 @@
                     &engine,
                     ProbeResult::Dead,
                     ms(self.now_ms),
+                    ms(self.now_ms),
                 );
                 self.apply(probe_actions);
             }
@@ -118,6 +119,7 @@
                     &dead_engine,
                     ProbeResult::Dead,
                     ms(self.now_ms),
+                    ms(self.now_ms),
                 );
                 self.apply(actions);
                 continue;
@@ -396,9 +398,10 @@
         }
         // Only one of the instances has detected the crash of another engine.
         if index == 0 {
-            dispatcher.handle_probe_result(&engine_id(5), ProbeResult::Dead, ms(2));
+            dispatcher.handle_probe_result(&engine_id(5), ProbeResult::Dead, ms(2), ms(2));
         }
-        let actions = dispatcher.handle_probe_result(&crashed_engine, ProbeResult::Dead, ms(2));
+        let actions =
+            dispatcher.handle_probe_result(&crashed_engine, ProbeResult::Dead, ms(2), ms(2));
         let timer_actions = run_timers(&mut dispatcher, ms(2_000));
         let isolated = sent_attempts(&actions)
             .into_iter()
--- a/crates/core/tests/lifecycle.rs
+++ b/crates/core/tests/lifecycle.rs
@@ -74,8 +74,12 @@
     let actions = dispatcher.handle_failure(first.attempt, Failure::Broken, ms(3));
     assert!(matches!(&actions[..], [Action::Probe(_)]), "{actions:?}");
     let alive = ProbeResult::Alive { incarnation: 1 };
-    let second =
-        only_sent_attempt(&dispatcher.handle_probe_result(&lead_engine(&first), alive, ms(4)));
+    let second = only_sent_attempt(&dispatcher.handle_probe_result(
+        &lead_engine(&first),
+        alive,
+        ms(3),
+        ms(4),
+    ));
     assert_eq!(second.resume_from, 7);
     assert_ne!(second.attempt, first.attempt);
 }
@@ -184,7 +188,7 @@
 #[test]
 fn engine_that_fails_a_probe_receives_no_new_requests_until_it_reports() {
     let mut dispatcher = dispatcher(2);
-    dispatcher.handle_probe_result(&engine_id(0), ProbeResult::Dead, ms(10));
+    dispatcher.handle_probe_result(&engine_id(0), ProbeResult::Dead, ms(10), ms(10));
     assert_eq!(
         dispatcher.membership().target_state(&engine_id(0), ms(10)),
         TargetState::Dead
@@ -209,7 +213,7 @@
     let silent = lead_engine(&sent);
     for round in 0..10 {
         let now = ms(100 + round * 100);
-        let actions = dispatcher.handle_probe_result(&silent, ProbeResult::Silent, now);
+        let actions = dispatcher.handle_probe_result(&silent, ProbeResult::Silent, now, now);
         assert!(actions.is_empty(), "{actions:?}");
     }
     for i in 2..20 {
@@ -230,7 +234,7 @@
     let sent = only_sent_attempt(&dispatcher.submit_request(request(1, 1_000), ms(1)));
     let engine = lead_engine(&sent);
     dispatcher.handle_failure(sent.attempt, Failure::Broken, ms(10));
-    let actions = dispatcher.handle_probe_result(&engine, ProbeResult::Silent, ms(510));
+    let actions = dispatcher.handle_probe_result(&engine, ProbeResult::Silent, ms(10), ms(510));
     let retried = only_sent_attempt(&actions);
     let fingerprint = request(1, 1_000).fingerprint;
     assert_eq!(
@@ -241,6 +245,25 @@
     assert_eq!(delivery, Delivery::Deliver);
 }
 
+/// Guards against a content that crashes engines and is sent on without suspicion: probes of an
+/// engine that ends may be answered from before its end, or see silence, before one is refused.
+#[test]
+fn request_on_an_engine_that_ends_is_suspected_whatever_other_probes_saw() {
+    let mut dispatcher = dispatcher(3);
+    let sent = only_sent_attempt(&dispatcher.submit_request(request(1, 1_000), ms(1)));
+    let engine = lead_engine(&sent);
+    dispatcher.handle_failure(sent.attempt, Failure::Broken, ms(10));
+    let alive = ProbeResult::Alive { incarnation: 1 };
+    let actions = dispatcher.handle_probe_result(&engine, alive, ms(9), ms(11));
+    assert!(actions.is_empty(), "{actions:?}");
+    let actions = dispatcher.handle_probe_result(&engine, ProbeResult::Silent, ms(10), ms(160));
+    assert!(matches!(&actions[..], [Action::Probe(_)]), "{actions:?}");
+    dispatcher.handle_probe_result(&engine, ProbeResult::Dead, ms(160), ms(170));
+    let fingerprint = request(1, 1_000).fingerprint;
+    let crashes = dispatcher.quarantine().crash_count(&fingerprint, ms(171));
+    assert_eq!(crashes, 1);
+}
+
 #[test]
 fn engine_without_recent_reports_receives_no_new_requests() {
     let mut dispatcher = dispatcher(2);
--- a/crates/daemon/src/engines/reports.rs
+++ b/crates/daemon/src/engines/reports.rs
@@ -33,11 +33,11 @@
 /// Time limit of a probe and of sending an order.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Number of probes that follow one whose connection broke: the system closes the connections
-/// of a process that ends one after the other, its listener perhaps last.
+/// Number of repetitions after a probe whose connection broke: the system closes the
+/// connections of a process that ends one after the other, its listener perhaps last.
 const MAX_PROBE_REPEATS: u32 = 3;
 
-/// Time between two of these probes.
+/// Time between two of these repetitions.
 const PROBE_REPEAT_DELAY: Duration = Duration::from_millis(50);
 
 const MAX_REPORT_BYTES: usize = 256 * 1024;
@@ -78,7 +78,7 @@
 enum ProbeFailure {
     /// Nothing listens at the engine's address.
     Refused,
-    /// The connection broke: the engine may be about to end.
+    /// The connection broke, perhaps while it was opened: the engine may be about to end.
     Broken,
     /// There was no valid report in time.
     Silent,
@@ -87,6 +87,7 @@
 /// Fetches an engine's report now. An engine that refuses the connection is passed to the
 /// dispatcher as dead, one without a valid report as silent; its last report is dropped.
 pub async fn probe(node: Rc<Node>, engine: EngineId) {
+    let started_at = node.clock.now();
     let mut fetched = fetch_report(&node, &engine).await;
     for _ in 0..MAX_PROBE_REPEATS {
         if !matches!(fetched, Err(ProbeFailure::Broken)) {
@@ -99,7 +100,9 @@
         Ok(report) => {
             let incarnation = report.incarnation;
             let probed = ProbeResult::Alive { incarnation };
-            node.update_dispatcher(|d, now| d.handle_probe_result(&engine, probed, now));
+            node.update_dispatcher(|d, now| {
+                d.handle_probe_result(&engine, probed, started_at, now)
+            });
             apply_report(&node, &engine, report);
         }
         Err(failure) => {
@@ -108,7 +111,9 @@
                 ProbeFailure::Broken | ProbeFailure::Silent => ProbeResult::Silent,
             };
             node.reports.borrow_mut().remove(&engine);
-            node.update_dispatcher(|d, now| d.handle_probe_result(&engine, probed, now));
+            node.update_dispatcher(|d, now| {
+                d.handle_probe_result(&engine, probed, started_at, now)
+            });
         }
     }
 }
@@ -177,7 +182,9 @@
         {
             ProbeFailure::Refused
         }
-        SendRequestError::Timeout | SendRequestError::Connect(_) => ProbeFailure::Silent,
+        SendRequestError::Timeout | SendRequestError::Connect(ConnectError::Timeout) => {
+            ProbeFailure::Silent
+        }
         _ => ProbeFailure::Broken,
     })?;
     let payload = response.take_payload();
--- a/crates/load/src/experiment/world.rs
+++ b/crates/load/src/experiment/world.rs
@@ -465,9 +465,11 @@
                 state.dispatcher.handle_release(attempt, &id);
                 Vec::new()
             }
-            ToInstance::Dead => state
-                .dispatcher
-                .handle_probe_result(&id, ProbeResult::Dead, now),
+            ToInstance::Dead => {
+                state
+                    .dispatcher
+                    .handle_probe_result(&id, ProbeResult::Dead, now, now)
+            }
             ToInstance::Report => Vec::new(),
         };
         self.apply(instance, actions);
--- a/crates/load/tests/chaos.rs
+++ b/crates/load/tests/chaos.rs
@@ -527,7 +527,7 @@
                     let now = self.now;
                     let actions = self.instances[i]
                         .dispatcher
-                        .handle_probe_result(&engine, probed, now);
+                        .handle_probe_result(&engine, probed, now, now);
                     self.later(Message::Actions {
                         incarnation,
                         actions,
