Own interface: a connection closed before the response is not "not sent"

What callers saw: a call that may run once ran at three targets, one after the other, and its caller was told that it had not run. A content that takes engines down was sent on without suspicion, and ended as `targets-failed` in place of `content-quarantined`.

Cause: the HTTP client reports a connection that ends before the response as a connect error (`ConnectError::Disconnected`). The daemon took all connect errors for requests that were not sent: calls to services, attempts at engines, reservations and writes to the platform's tables; the operators' tool did the same for confirmations.

Change: `http::is_unsent` decides, in one place; such a connection now counts as one that broke after the request was sent.

Evidence: closed_connections (crates/load/tests), three tests with engines and targets over sockets. With Disconnected taken for unsent, as before, all three fail: three calls in place of one, and `targets-failed`. They pass now.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use awc::error::{ConnectError, SendRequestError};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Time limit for the response head of an instance.
@@ -157,9 +158,13 @@
     )
 }
 
-fn classify_send_error(err: awc::error::SendRequestError) -> RequestError {
+fn classify_send_error(err: SendRequestError) -> RequestError {
     match err {
-        awc::error::SendRequestError::Connect(err) => RequestError::Unreachable(err.to_string()),
+        // The connection ended before the response: the request may have been executed.
+        err @ SendRequestError::Connect(ConnectError::Disconnected) => {
+            RequestError::NoResponse(err.to_string())
+        }
+        SendRequestError::Connect(err) => RequestError::Unreachable(err.to_string()),
         err => RequestError::NoResponse(err.to_string()),
     }
 }
--- a/crates/daemon/src/client_api/service_call.rs
+++ b/crates/daemon/src/client_api/service_call.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use actix_http::HttpMessage;
-use awc::error::SendRequestError;
 use bytes::Bytes;
 use cyclamengauge_core::{
     at_most_once::TargetOutcome,
@@ -176,7 +175,7 @@
         }
         let mut response = match request.send_body(self.body.clone()).await {
             Ok(response) => response,
-            Err(SendRequestError::Connect(_)) => {
+            Err(err) if http::is_unsent(&err) => {
                 guard.outcome = Outcome::Silent;
                 return TargetOutcome::NotSent;
             }
--- a/crates/daemon/src/engines/attempt.rs
+++ b/crates/daemon/src/engines/attempt.rs
@@ -237,8 +237,8 @@
 }
 
 fn failure_from_error(err: &SendRequestError) -> Failure {
-    match err {
-        SendRequestError::Connect(_) => Failure::NotSent,
-        _ => Failure::Broken,
+    match http::is_unsent(err) {
+        true => Failure::NotSent,
+        false => Failure::Broken,
     }
 }
--- a/crates/daemon/src/engines/reservations.rs
+++ b/crates/daemon/src/engines/reservations.rs
@@ -10,7 +10,7 @@
 };
 use cyclamengauge_schema::v1;
 
-use crate::node::Node;
+use crate::{http, node::Node};
 
 /// Time limit of one call that reserves, renews or releases memory.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -88,7 +88,7 @@
     match request.send_json(&body).await {
         Ok(response) if response.status().as_u16() == 200 => Reply::Granted,
         Ok(_) => Reply::Refused,
-        Err(awc::error::SendRequestError::Connect(_)) => Reply::Refused,
+        Err(err) if http::is_unsent(&err) => Reply::Refused,
         Err(_) => Reply::Lost,
     }
 }
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -12,6 +12,7 @@
 mod body;
 mod connections;
 mod response;
+mod send_error;
 pub mod stream;
 
 use std::{convert::Infallible, future::Future, net, rc::Rc, time::Duration};
@@ -24,6 +25,7 @@
 pub use body::{BodyError, BodyTurn, collect, collect_response};
 pub use connections::{BusyGuard, ConnectionLimits, Connections};
 pub use response::{event_stream, json, problem, readiness, text};
+pub use send_error::is_unsent;
 use stream::{ClientStream, Exchange, Turns};
 
 /// Time limit for the arrival of a request head.
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -178,11 +178,9 @@
         step: &'static str,
         request: awc::SendClientRequest,
     ) -> Result<(u16, Bytes), RequestError> {
-        let mut response = request.await.map_err(|err| match err {
-            awc::error::SendRequestError::Connect(err) => {
-                RequestError::NotSent(Error::new(step, err.to_string()).with_peer("platform"))
-            }
-            err => outcome_unknown(step, err.to_string()),
+        let mut response = request.await.map_err(|err| match http::is_unsent(&err) {
+            true => RequestError::NotSent(Error::new(step, err.to_string()).with_peer("platform")),
+            false => outcome_unknown(step, err.to_string()),
         })?;
         let status = response.status().as_u16();
         let body =
--- a/crates/load/tests/faulty/mod.rs
+++ b/crates/load/tests/faulty/mod.rs
@@ -4,8 +4,12 @@
     io::{Read, Write},
     net::{TcpListener, TcpStream},
     path::Path,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cyclamengauge_load::{
@@ -87,9 +91,85 @@
     }
 }
 
+/// An engine that ends as it gets a completion: its connections break, and its listener is
+/// closed `linger` later. Returns its address; `crashes` counts the engines that ended so.
+pub fn start_dying(report: String, linger: Duration, crashes: &Arc<AtomicUsize>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    listener.set_nonblocking(true).unwrap();
+    let crashes = Arc::clone(crashes);
+    thread::spawn(move || {
+        let ended_at = Arc::<Mutex<Option<Instant>>>::default();
+        let is_closed = || {
+            ended_at
+                .lock()
+                .unwrap()
+                .is_some_and(|at| at.elapsed() > linger)
+        };
+        while !is_closed() {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            if ended_at.lock().unwrap().is_some() {
+                // The connection breaks before its request is answered.
+                drop(stream);
+                continue;
+            }
+            stream.set_nonblocking(false).unwrap();
+            let (report, crashes, ended_at) =
+                (report.clone(), Arc::clone(&crashes), Arc::clone(&ended_at));
+            thread::spawn(move || {
+                if report_until_completion(stream, &report).is_some() {
+                    ended_at.lock().unwrap().get_or_insert_with(Instant::now);
+                    crashes.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Answers all requests with `report` until a completion comes.
+fn report_until_completion(mut stream: TcpStream, report: &str) -> Option<()> {
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let length = stream.read(&mut buffer).ok().filter(|length| *length > 0)?;
+        if buffer[..length].starts_with(b"POST /v1/completions") {
+            return Some(());
+        }
+        let length = report.len();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        stream.write_all((head + report).as_bytes()).ok()?;
+    }
+}
+
+/// A target that closes each connection once it has read a call; `calls` counts them.
+pub fn start_closing(calls: &Arc<AtomicUsize>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let calls = Arc::clone(calls);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let calls = Arc::clone(&calls);
+            thread::spawn(move || {
+                let mut buffer = [0; 64 * 1024];
+                if stream.read(&mut buffer).is_ok_and(|length| length > 0) {
+                    calls.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    address
+}
+
 pub fn report(queued: &[u64], count: u32) -> String {
+    report_of("faulty", queued, count)
+}
+
+pub fn report_of(engine: &str, queued: &[u64], count: u32) -> String {
     let report = v1::EngineReport {
-        engine: "faulty".to_owned(),
+        engine: engine.to_owned(),
         incarnation: 1,
         model: cyclamengauge_load::harness::MODEL.to_owned(),
         version: "1".to_owned(),
