gateway: bound what all bodies of the store and of peers hold together

What was seen: a daemon with 112 MB whose store answers without an end took 153 MB, over the memory of its machine. No caller has told of it.

Cause: each body had a limit of its own, 16 MiB, and a daemon reads several tables and its peers at the same time.

Change: all of them share an eighth of the memory beyond the fixed reserve, from 4 to 32 MiB. A body that finds no room there fails, and is asked for again as after any failed call.

Evidence: responses_of_the_store_without_an_end_stay_within_memory (crates/daemon/tests/foreign_bytes) failed with 153,464,832 bytes before and passes now, as does the new test of interim heads, which passed before too.

--- a/crates/core/src/serving/memory/mod.rs
+++ b/crates/core/src/serving/memory/mod.rs
@@ -59,6 +59,15 @@
 /// Largest response that is held in memory on any machine, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Share of the memory beyond the fixed reserve that bodies of the store and of peers can fill
+/// while they are received.
+const INTERNAL_BODY_SHARE: f64 = 0.125;
+
+/// Bounds of that memory, in bytes. The least one has room for a configuration of thousands of
+/// routes.
+const MIN_INTERNAL_BODY_BYTES: u64 = 4 * 1024 * 1024;
+const MAX_INTERNAL_BODY_BYTES: u64 = 32 * 1024 * 1024;
+
 /// Number of a holder, unique within a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct HolderId(u64);
@@ -138,12 +147,24 @@
     last_id: u64,
 }
 
+/// Bytes that bodies of the store and of peers may fill together on a machine with `memory_mb`
+/// MB, beside the budget for clients and targets.
+pub fn internal_body_capacity_bytes(memory_mb: Option<u64>) -> u64 {
+    let share = (free_bytes(memory_mb) as f64 * INTERNAL_BODY_SHARE) as u64;
+    share.clamp(MIN_INTERNAL_BODY_BYTES, MAX_INTERNAL_BODY_BYTES)
+}
+
+fn free_bytes(memory_mb: Option<u64>) -> u64 {
+    let memory_bytes = memory_mb
+        .unwrap_or(DEFAULT_MEMORY_MB)
+        .saturating_mul(BYTES_PER_MB);
+    memory_bytes.saturating_sub(FIXED_RESERVE_BYTES)
+}
+
 impl MemoryBudget {
     /// Creates the budget of a machine with `memory_mb` MB.
     pub fn for_machine(memory_mb: Option<u64>) -> Self {
-        let memory_bytes = memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MB;
-        let free_bytes = memory_bytes.saturating_sub(FIXED_RESERVE_BYTES);
-        Self::with_capacity((free_bytes as f64 * BUDGET_SHARE) as u64)
+        Self::with_capacity((free_bytes(memory_mb) as f64 * BUDGET_SHARE) as u64)
     }
 
     /// Creates a budget of `capacity_bytes`, or of the least budget if that is more.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -245,7 +245,7 @@
             configuration_offers: RefCell::new(Offers::new(link)),
             next_configuration_at: Cell::new(started_at),
             configuration_pacer: Cell::new(Pacer::new(link)),
-            own_link: Rc::new(OwnLinkUse::new(clock)),
+            own_link: Rc::new(OwnLinkUse::new(clock, settings.limits.memory_mb)),
             target_list: RefCell::default(),
             target_list_watch: Cell::default(),
             watchers: RefCell::new(Watchers::new(own_link_mbps)),
--- a/crates/daemon/src/gateway/own_link.rs
+++ b/crates/daemon/src/gateway/own_link.rs
@@ -1,31 +1,38 @@
-//! Large bodies that this instance receives or sends over its own link.
+//! Large bodies that this instance receives from the store and from peers, or sends to peers,
+//! over its own link.
 
 use std::{cell::Cell, time::Duration};
 
 use anyhow::Context;
 use bytes::{Bytes, BytesMut};
-use cyclamengauge_core::{clock::Instant, serving::reachability::own_link::OwnLink};
+use cyclamengauge_core::{
+    clock::Instant,
+    serving::{memory, reachability::own_link::OwnLink},
+};
 use http::Response;
 use hyper::body::Incoming;
 
 use crate::{gateway::upstream::Connection, node::Clock};
 
-/// Largest body that is buffered in memory.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-
 /// Use of the own link by large bodies.
 #[derive(Debug)]
 pub struct OwnLinkUse {
     clock: Clock,
     state: Cell<OwnLink>,
+    /// Bytes that all bodies together may have in memory while they are received.
+    capacity_bytes: usize,
+    /// Bytes that they have. At most `capacity_bytes`.
+    held_bytes: Cell<usize>,
 }
 
 impl OwnLinkUse {
-    /// A link without use so far.
-    pub fn new(clock: Clock) -> Self {
+    /// The link of a machine with `memory_mb` MB, without use so far.
+    pub fn new(clock: Clock, memory_mb: Option<u64>) -> Self {
         Self {
             clock,
             state: Cell::default(),
+            capacity_bytes: memory::internal_body_capacity_bytes(memory_mb) as usize,
+            held_bytes: Cell::default(),
         }
     }
 
@@ -46,7 +53,7 @@
     ///
     /// # Errors
     ///
-    /// If the body is incomplete or larger than `MAX_BODY_BYTES`.
+    /// If the body is incomplete, or there is no room for it beside other bodies.
     pub async fn collect(
         &self,
         connection: &Connection,
@@ -60,8 +67,8 @@
     ///
     /// # Errors
     ///
-    /// If no bytes arrive in time, or the body is incomplete or larger than
-    /// `MAX_BODY_BYTES`.
+    /// If no bytes arrive in time, the body is incomplete, or there is no room for it beside
+    /// other bodies.
     pub async fn collect_while_moving(
         &self,
         connection: &Connection,
@@ -70,6 +77,10 @@
     ) -> anyhow::Result<Response<Bytes>> {
         let (head, mut incoming) = response.into_parts();
         let mut body = BytesMut::new();
+        let mut room = Room {
+            own_link: self,
+            bytes: 0,
+        };
         loop {
             let next = connection.next_data(&mut incoming);
             let next = actix_rt::time::timeout(idle_timeout, next).await;
@@ -78,13 +89,37 @@
                 format!("read the response body: no bytes for {idle_timeout:?} after {length}")
             })?;
             let Some(data) = next? else { break };
-            anyhow::ensure!(
-                body.len() + data.len() <= MAX_BODY_BYTES,
-                "read the response body: over the limit of {MAX_BODY_BYTES} bytes"
-            );
+            room.grow(data.len()).context("read the response body")?;
             body.extend_from_slice(&data);
             self.record_bytes(body.len());
         }
         Ok(Response::from_parts(head, body.freeze()))
     }
 }
+
+/// Room of one body, given back on drop.
+struct Room<'a> {
+    own_link: &'a OwnLinkUse,
+    bytes: usize,
+}
+
+impl Room<'_> {
+    fn grow(&mut self, bytes: usize) -> anyhow::Result<()> {
+        let (held, capacity) = (self.own_link.held_bytes.get(), self.own_link.capacity_bytes);
+        anyhow::ensure!(
+            held + bytes <= capacity,
+            "{} bytes received, {held} by all such bodies, over their limit of {capacity} bytes",
+            self.bytes
+        );
+        self.own_link.held_bytes.set(held + bytes);
+        self.bytes += bytes;
+        Ok(())
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        let held = self.own_link.held_bytes.get();
+        self.own_link.held_bytes.set(held - self.bytes);
+    }
+}
--- a/crates/daemon/tests/foreign_bytes/main.rs
+++ b/crates/daemon/tests/foreign_bytes/main.rs
@@ -96,6 +96,13 @@
         && status_code(&send_request(address, &request).await) == 200
 }
 
+/// Asks whether the daemon is ready; returns the time until the answer.
+async fn time_readiness(address: SocketAddr) -> Duration {
+    let started = Instant::now();
+    is_ready(address).await;
+    started.elapsed()
+}
+
 /// Asks whether the daemon is ready until `is_over`; returns the longest time that it took.
 async fn check_readiness(address: SocketAddr, is_over: Rc<Cell<bool>>) -> Duration {
     let mut longest = Duration::ZERO;
@@ -159,6 +166,39 @@
     });
 }
 
+/// Starts a daemon whose store answers each call with `start`, and then `repeated` without an
+/// end.
+fn check_store(number: u8, start: &str, repeated: &str) {
+    run_test(async {
+        let directory = std::env::temp_dir().join(format!("store-{number}-{}", std::process::id()));
+        std::fs::create_dir_all(&directory).unwrap();
+        let store_address = start_target(start.to_owned(), repeated);
+        let program = Path::new(env!("CARGO_BIN_EXE_cyclamengauged"));
+        let limits = format!("[limits]\nmemory_mb = {MEMORY_MB}\n");
+        let mut daemon =
+            DaemonProcess::start_limited("dc", program, &directory, number, store_address, &limits);
+        let address = daemon.readiness_address;
+        let started = Instant::now();
+        while TcpStream::connect(address).is_err() {
+            assert!(started.elapsed() < Duration::from_secs(20), "not started");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        let mut longest = Duration::ZERO;
+        // Several calls to each table.
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_secs(6) && !daemon.has_ended() {
+            longest = longest.max(time_readiness(address).await);
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(!daemon.has_ended(), "the process ended by itself");
+        let peak = peak_memory_bytes(daemon.id().unwrap());
+        assert!(peak < MEMORY_MB * 1_000_000, "{peak} bytes of memory");
+        assert!(longest < CHECK_LIMIT, "no answer for {longest:?}");
+        daemon.kill();
+        let _ = std::fs::remove_dir_all(&directory);
+    });
+}
+
 /// Guards against an error answer without an end that takes a daemon over its memory, so that
 /// all requests in progress lose their answers (review case 1).
 #[test]
@@ -199,3 +239,21 @@
         &"0".repeat(64 * 1024),
     );
 }
+
+const STORE_HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
+                          Transfer-Encoding: chunked\r\n\r\n";
+
+/// Guards against responses of the store without an end that take a daemon over its memory:
+/// it reads several tables at the same time.
+#[test]
+fn responses_of_the_store_without_an_end_stay_within_memory() {
+    let chunk = format!("10000\r\n{}\r\n", "a".repeat(0x10000));
+    check_store(157, STORE_HEAD, &chunk);
+    check_store(158, STORE_HEAD, "1\r\nx\r\n");
+}
+
+/// Guards against interim heads of the store without an end that hold the process.
+#[test]
+fn interim_heads_of_the_store_leave_a_daemon_answering() {
+    check_store(159, "", "HTTP/1.1 100\r\na:\r\n\r\n");
+}
