Own interface: a call that the end of the process interrupts is told so

Cause: a repeatable call to a service that was still open at the end of a planned stop heard "no target of the service answered in time", which was not the reason; the state `unknown` was true.

Change: the refusal `interrupted`, as requests for completions get it.

--- a/crates/daemon/src/client_api/services.rs
+++ b/crates/daemon/src/client_api/services.rs
@@ -4,12 +4,15 @@
 
 use actix_http::{HttpMessage, Request, Response, body::BoxBody};
 use bytes::Bytes;
-use cyclamengauge_core::{at_most_once, request::ExecutionState};
+use cyclamengauge_core::{
+    at_most_once,
+    request::{ExecutionState, RefusalReason},
+};
 use cyclamengauge_schema::v1;
 use sha2::{Digest, Sha256};
 
 use crate::{
-    client_api::{request_checks, service_call::ServiceCall},
+    client_api::{self, request_checks, service_call::ServiceCall},
     http,
     node::{Node, unix_ms},
     platform::PutOutcome,
@@ -96,7 +99,12 @@
     let sent = tokio::select! {
         biased;
         sent = call.send_idempotent() => sent,
-        () = node.wait_for_end() => Err(ExecutionState::Unknown),
+        () = node.wait_for_end() => {
+            let reason = RefusalReason::Interrupted;
+            let detail = client_api::refusal_detail(reason);
+            let (status, kind) = (reason.http_status(), reason.name());
+            return http::problem(status, kind, detail, ExecutionState::Unknown, None);
+        }
     };
     match sent {
         Ok(target) => target_response(target.status, &target.content_type, target.body, false),
