Own interface: entries of the instance list that can't be read are logged once

Cause: the list is read once a second, and each read logged each entry that can't be read.

Change: the entries are logged when they differ from those of the read before.

--- a/crates/daemon/src/control/discovery.rs
+++ b/crates/daemon/src/control/discovery.rs
@@ -12,14 +12,20 @@
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the list periodically until the daemon exits. A failed read is skipped: the
-/// last list stays in use. The first failure after a success is logged.
+/// last list stays in use. The first failure after a success is logged, and entries that can't
+/// be read when they change.
 pub(super) async fn refresh(node: Rc<Node>) {
     let mut is_failing = false;
+    let mut unreadable = Vec::new();
     loop {
         match node.platform.list_instances().await {
             Ok(list) => {
-                apply(&node, &list);
+                apply(&node, &list.entries);
                 is_failing = false;
+                if unreadable != list.unreadable {
+                    unreadable = list.unreadable;
+                    log_unreadable(&unreadable);
+                }
             }
             Err(err) => {
                 if !std::mem::replace(&mut is_failing, true) {
@@ -31,10 +37,16 @@
     }
 }
 
-fn apply(node: &Node, list: &v1::InstanceList) {
+fn log_unreadable(entries: &[(usize, String)]) {
+    for (index, err) in entries {
+        tracing::warn!(index, %err, "platform: entry {index} of the instance list left out");
+    }
+}
+
+fn apply(node: &Node, entries: &[v1::ListedInstance]) {
     let now = node.clock.now();
     let mut dispatcher = node.dispatcher.borrow_mut();
-    for entry in &list.instances {
+    for entry in entries {
         let leaving = entry.state() == v1::ListedState::Leaving;
         dispatcher.handle_list_entry(&EngineId::new(&entry.name), leaving, now);
     }
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -156,12 +156,12 @@
         }
     }
 
-    /// Reads the list of live and leaving instances. Entries that can't be read are left out.
+    /// Reads the list of live and leaving instances.
     ///
     /// # Errors
     ///
     /// If the platform does not respond or its response is no list.
-    pub async fn list_instances(&self) -> Result<v1::InstanceList, RequestError> {
+    pub async fn list_instances(&self) -> Result<ListedInstances, RequestError> {
         let request = self.client.get(&self.instances_url).timeout(self.timeout);
         let (status, body) = self.send_request("read instances", request.send()).await?;
         match status {
@@ -195,6 +195,14 @@
     RequestError::OutcomeUnknown(Error::new(step, cause).with_peer("platform"))
 }
 
+/// The platform's list of instances.
+pub struct ListedInstances {
+    /// The entries that can be read.
+    pub entries: Vec<v1::ListedInstance>,
+    /// Position of each other entry, and why it can't be read.
+    pub unreadable: Vec<(usize, String)>,
+}
+
 /// The list of instances, whose entries are parsed one by one: other writers choose what is
 /// in them.
 #[derive(Deserialize)]
@@ -203,22 +211,21 @@
     instances: Vec<&'a RawValue>,
 }
 
-fn parse_instances(body: &[u8]) -> Result<v1::InstanceList, RequestError> {
+fn parse_instances(body: &[u8]) -> Result<ListedInstances, RequestError> {
     let step = "read instances";
     let list: WireInstanceList<'_> =
         serde_json::from_slice(body).map_err(|err| outcome_unknown(step, err.to_string()))?;
-    let entries = list.instances.into_iter().enumerate();
-    let instances = entries.filter_map(|(index, entry)| {
-        let parsed = serde_json::from_str::<v1::ListedInstance>(entry.get());
-        parsed
-            .inspect_err(|err| {
-                tracing::warn!(index, %err, "platform: entry {index} of the instance list left out")
-            })
-            .ok()
-    });
-    Ok(v1::InstanceList {
-        instances: instances.collect(),
-    })
+    let mut listed = ListedInstances {
+        entries: Vec::new(),
+        unreadable: Vec::new(),
+    };
+    for (index, entry) in list.instances.into_iter().enumerate() {
+        match serde_json::from_str(entry.get()) {
+            Ok(entry) => listed.entries.push(entry),
+            Err(err) => listed.unreadable.push((index, err.to_string())),
+        }
+    }
+    Ok(listed)
 }
 
 fn parse_json<T: serde::de::DeserializeOwned>(step: &str, body: &[u8]) -> Result<T, RequestError> {
