gateway: the future of a request takes its memory once

Cause: `until_shutdown` got the future by value.

Change: the future is boxed, so that the caller holds a pointer.

--- a/crates/daemon/src/gateway/request/serve.rs
+++ b/crates/daemon/src/gateway/request/serve.rs
@@ -1,6 +1,6 @@
 //! Client requests, and those of peers, from arrival to response.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, pin::Pin, rc::Rc};
 
 use actix_http::{
     HttpMessage, Request, Response,
@@ -50,7 +50,7 @@
     let id = SmolStr::new(id.unwrap_or_default());
     let trace = Trace::begin(&gateway.request_log, id.clone());
     let may_run = Rc::<Cell<bool>>::default();
-    let serving = async {
+    let serving = Box::pin(async {
         let prepared =
             prepare::prepare(gateway, &mut request, id, &trace, &may_run, arrived_at).await;
         let client_request = prepared.map_err(RequestError::Gateway)?;
@@ -59,7 +59,7 @@
             true => serve_stream(gateway, client_request, None, in_progress).await,
             false => serve_plain(gateway, &client_request, None).await,
         }
-    };
+    });
     let served = until_shutdown(gateway, &may_run, serving).await;
     if let Err(error) = &served {
         trace_error(&trace, error);
@@ -68,10 +68,11 @@
 }
 
 /// Waits for the response to a request, or until the process must answer it as it ends.
+/// `serving` is boxed, as a future passed by value would take its memory twice.
 async fn until_shutdown(
     gateway: &Gateway,
     may_run: &Cell<bool>,
-    serving: impl Future<Output = Result<Response<BoxBody>, RequestError>>,
+    serving: Pin<Box<impl Future<Output = Result<Response<BoxBody>, RequestError>>>>,
 ) -> Result<Response<BoxBody>, RequestError> {
     tokio::select! {
         biased;
@@ -102,7 +103,7 @@
     let in_progress = InProgressGuard::for_peer(gateway, guard);
     let trace = Rc::clone(&request.trace);
     let may_run = Rc::clone(&request.may_run);
-    let serving = async {
+    let serving = Box::pin(async {
         if gateway.refuses_requests(gateway.clock.now()) {
             return Err(RequestError::Gateway(GatewayError::ShuttingDown));
         }
@@ -114,7 +115,7 @@
                 Ok(handover::mark_answered(response, &origin, true))
             }
         }
-    };
+    });
     match until_shutdown(gateway, &may_run, serving).await {
         Ok(response) => response,
         Err(error) => {
