--- a/crates/load/tests/foreign_bytes.rs
+++ b/crates/load/tests/foreign_bytes.rs
@@ -100,3 +100,36 @@
         });
     }
 }
+
+/// Guards against reports of an engine without an end, as above: they are fetched without any
+/// request, and again and again.
+#[test]
+fn reports_without_an_end_neither_hold_a_daemon_nor_fill_it() {
+    for (kind, start, repeated) in ENDLESS {
+        run(async {
+            let mut fleet = fleet(1, 1).await?;
+            let mut declaration = fleet.declaration();
+            for number in 0..4 {
+                let mut engine = declaration.engines[0].clone();
+                engine.name = format!("faulty{number}");
+                engine.address = start_faulty(String::new(), start, repeated);
+                declaration.engines.push(engine);
+            }
+            fleet.put_in_force(declaration).await?;
+            let is_over = std::cell::Cell::new(false);
+            let fetching = async {
+                // Several probes of each engine.
+                actix_rt::time::sleep(Duration::from_secs(3)).await;
+                is_over.set(true);
+            };
+            let checking = check_readiness(&fleet, &is_over);
+            let ((), longest) = future::join(fetching, checking).await;
+            assert!(longest < CHECK_LIMIT, "{kind}: not ready for {longest:?}");
+            let memory = memory_kib(fleet.daemons[0].id());
+            assert!(memory < MAX_MEMORY_KIB, "{kind}: {memory} KiB");
+            assert!(fleet.daemons[0].is_running(), "{kind}");
+            assert_eq!(ask(&fleet, 9).await, Ended::Whole, "{kind}");
+            Ok(())
+        });
+    }
+}
