Own interface: a probe that fails at once is repeated after a while

Cause: since a silent engine is probed again until it was silent for 0.5 s, a failure that takes no time, such as a report that can't be read, would have sent probes without a pause for that long.

Change: only a probe that ran into its time limit counts as silent. Others are repeated three times, 50 ms apart, as those whose connection broke.

--- a/crates/daemon/src/engines/reports.rs
+++ b/crates/daemon/src/engines/reports.rs
@@ -33,7 +33,7 @@
 /// Time limit of a probe and of sending an order.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Number of repetitions after a probe whose connection broke: the system closes the
+/// Number of repetitions of a probe that failed before its time limit: the system closes the
 /// connections of a process that ends one after the other, its listener perhaps last.
 const MAX_PROBE_REPEATS: u32 = 3;
 
@@ -78,9 +78,10 @@
 enum ProbeFailure {
     /// Nothing listens at the engine's address.
     Refused,
-    /// The connection broke, perhaps while it was opened: the engine may be about to end.
+    /// The connection broke, perhaps while it was opened, or what came is no report: the engine
+    /// may be about to end.
     Broken,
-    /// There was no valid report in time.
+    /// There was no report in time.
     Silent,
 }
 
@@ -171,7 +172,7 @@
 
 /// Fetches a report over a connection of its own, so that a refusal is the engine's.
 async fn fetch_report(node: &Node, engine: &EngineId) -> Result<v1::EngineReport, ProbeFailure> {
-    let url = node.engine_url(engine).ok_or(ProbeFailure::Silent)?;
+    let url = node.engine_url(engine).ok_or(ProbeFailure::Broken)?;
     let request = node
         .no_reuse_client
         .get(format!("{url}/v1/report"))
@@ -190,10 +191,10 @@
     let payload = response.take_payload();
     let body = http::collect_response(payload, MAX_REPORT_BYTES, PROBE_TIMEOUT).await;
     let body = body.map_err(|err| match err {
-        BodyError::Broken => ProbeFailure::Broken,
-        BodyError::TooLarge | BodyError::TooSlow => ProbeFailure::Silent,
+        BodyError::Broken | BodyError::TooLarge => ProbeFailure::Broken,
+        BodyError::TooSlow => ProbeFailure::Silent,
     })?;
-    serde_json::from_slice(&body).map_err(|_| ProbeFailure::Silent)
+    serde_json::from_slice(&body).map_err(|_| ProbeFailure::Broken)
 }
 
 fn cache_event(event: &v1::CacheEvent) -> CacheEvent {
