tests: responses of the platform without an end, on the own interface

The last path of the own interface that had no test in docs/design/memory-budget.md.

The bounds were there; the test was not run against a build without them.

--- a/crates/load/tests/faulty/mod.rs
+++ b/crates/load/tests/faulty/mod.rs
@@ -51,7 +51,7 @@
 
 /// An engine or a target that reports `report` and answers all else with `start`, and then
 /// with `repeated` until the connection is closed; without `repeated`, it falls silent. With an
-/// empty `report`, it answers so when it is asked for its report, too.
+/// empty `report`, it answers all requests so.
 pub fn start_faulty(report: String, start: &str, repeated: &str) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
@@ -70,12 +70,11 @@
     let mut buffer = vec![0; 64 * 1024];
     while let Ok(length @ 1..) = stream.read(&mut buffer) {
         let request = String::from_utf8_lossy(&buffer[..length]);
-        let is_report = request.starts_with("GET /v1/report");
-        let sent = if is_report && !report.is_empty() {
+        let sent = if request.starts_with("GET /v1/report") && !report.is_empty() {
             let length = report.len();
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
             stream.write_all((head + report).as_bytes())
-        } else if is_report
+        } else if report.is_empty()
             || request.starts_with("POST /v1/completions")
             || request.contains(" /bytes")
         {
--- a/crates/load/tests/foreign_bytes.rs
+++ b/crates/load/tests/foreign_bytes.rs
@@ -3,9 +3,16 @@
 #[allow(dead_code)]
 mod faulty;
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::Cell,
+    path::Path,
+    time::{Duration, Instant},
+};
 
-use cyclamengauge_load::harness::{Ended, Fleet};
+use cyclamengauge_load::{
+    harness::{self, Ended, Fleet, Process},
+    model::Deployment,
+};
 use faulty::{DEADLINE, ask, declare, faulty_declaration, fleet, report, run, start_faulty};
 use futures_util::future;
 
@@ -48,7 +55,7 @@
 }
 
 /// Asks a daemon whether it is ready until `is_over`; returns the longest time that it took.
-async fn check_readiness(fleet: &Fleet, is_over: &std::cell::Cell<bool>) -> Duration {
+async fn check_readiness(fleet: &Fleet, is_over: &Cell<bool>) -> Duration {
     let url = format!("http://{}/ready", fleet.daemons[0].address);
     let mut longest = Duration::ZERO;
     while !is_over.get() {
@@ -69,7 +76,7 @@
             let mut fleet = fleet(1, 1).await?;
             let address = start_faulty(report(&[], 0), start, repeated);
             declare(&fleet, faulty_declaration(&fleet, &address)).await?;
-            let is_over = std::cell::Cell::new(false);
+            let is_over = Cell::new(false);
             let asking = async {
                 let asked = future::join_all((0..4).map(|number| ask(&fleet, number)));
                 let url = format!("http://{}/services/faulty/bytes", fleet.daemons[0].address);
@@ -116,7 +123,7 @@
                 declaration.engines.push(engine);
             }
             fleet.put_in_force(declaration).await?;
-            let is_over = std::cell::Cell::new(false);
+            let is_over = Cell::new(false);
             let fetching = async {
                 // Several probes of each engine.
                 actix_rt::time::sleep(Duration::from_secs(3)).await;
@@ -133,3 +140,49 @@
         });
     }
 }
+
+/// Guards against responses of the platform without an end, as above: the daemon reads several
+/// tables by itself. It is not ready then, and says so in time.
+#[test]
+fn responses_of_the_platform_without_an_end_neither_hold_a_daemon_nor_fill_it() {
+    for (kind, start, repeated) in ENDLESS {
+        run(async {
+            let platform = start_faulty(String::new(), start, repeated);
+            let ports = harness::free_addresses(3)?;
+            let listen = [ports[0].clone(), ports[1].clone(), ports[2].clone()];
+            let deployment = Deployment::MoosachIsental;
+            let settings = harness::settings(0, &listen, &[], &platform, deployment);
+            let directory = std::env::temp_dir().join(format!("platform-{}", std::process::id()));
+            std::fs::create_dir_all(&directory)?;
+            let path = directory.join("daemon.json");
+            std::fs::write(&path, serde_json::to_string(&settings)?)?;
+            let arguments = ["daemon", "--config", &path.display().to_string()].map(str::to_owned);
+            let program = Path::new(env!("CARGO_BIN_EXE_cyclamengauge-load"));
+            let mut daemon = Process::start(program, &directory, "daemon", &ports[0], &arguments)?;
+            let http = awc::Client::default();
+            let url = format!("http://{}/ready", ports[0]);
+            let started = Instant::now();
+            while http.get(&url).send().await.is_err() {
+                anyhow::ensure!(started.elapsed() < DEADLINE, "{kind}: not started");
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+            let mut longest = Duration::ZERO;
+            // Several calls to each table.
+            let started = Instant::now();
+            while started.elapsed() < Duration::from_secs(3) {
+                let asked = Instant::now();
+                let answered = http.get(&url).send().await;
+                anyhow::ensure!(answered.is_ok(), "{kind}: no answer");
+                longest = longest.max(asked.elapsed());
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+            assert!(longest < CHECK_LIMIT, "{kind}: no answer for {longest:?}");
+            let memory = memory_kib(daemon.id());
+            assert!(memory < MAX_MEMORY_KIB, "{kind}: {memory} KiB");
+            assert!(daemon.is_running(), "{kind}");
+            daemon.kill();
+            std::fs::remove_dir_all(&directory)?;
+            Ok(())
+        });
+    }
+}
