--- a/crates/core/tests/serving/memory.rs
+++ b/crates/core/tests/serving/memory.rs
@@ -5,7 +5,7 @@
 use cyclamengauge_core::{
     clock::Instant,
     ids::AccountId,
-    serving::memory::{Growth, Holder, HolderId, MemoryBudget, MemoryError},
+    serving::memory::{self, Growth, Holder, HolderId, MemoryBudget, MemoryError},
 };
 
 const MB: u64 = 1_000_000;
@@ -222,3 +222,20 @@
         assert_eq!(budget.held_bytes(), 0);
     }
 }
+
+/// Guards against bodies of the store and of peers that take a process over its memory beside the
+/// budget for clients and targets, and against sizes of a machine that can't be calculated with.
+#[test]
+fn internal_bodies_and_the_budget_leave_room_on_any_machine() {
+    for memory_mb in [48, 112, 390, 4_000] {
+        let budget = MemoryBudget::for_machine(Some(memory_mb)).capacity_bytes();
+        let internal = memory::internal_body_capacity_bytes(Some(memory_mb));
+        assert!(
+            budget + internal <= memory_mb * MB * 3 / 4,
+            "{memory_mb} MB"
+        );
+        assert!(internal >= 4 * MB, "{memory_mb} MB");
+    }
+    let unknown = memory::internal_body_capacity_bytes(None);
+    assert!(unknown <= memory::internal_body_capacity_bytes(Some(u64::MAX)));
+}
