tests: an engine that ends counts as ended before its connection closes

Cause: `start_dying` closed the connection of the completion before it marked the engine as ended. A probe in between would have got a report, so that the engine counted as alive and the content was released: the tests of closed_connections could fail beside load.

Change: the connection is open until the engine is marked.

--- a/crates/load/tests/faulty/mod.rs
+++ b/crates/load/tests/faulty/mod.rs
@@ -111,7 +111,7 @@
                 .is_some_and(|at| at.elapsed() > linger)
         };
         while !is_closed() {
-            let Ok((stream, _)) = listener.accept() else {
+            let Ok((mut stream, _)) = listener.accept() else {
                 thread::sleep(Duration::from_millis(1));
                 continue;
             };
@@ -124,7 +124,9 @@
             let (report, crashes, ended_at) =
                 (report.clone(), Arc::clone(&crashes), Arc::clone(&ended_at));
             thread::spawn(move || {
-                if report_until_completion(stream, &report).is_some() {
+                // The connection is open until the engine counts as ended, so that no probe of
+                // the broken connection gets a report.
+                if report_until_completion(&mut stream, &report).is_some() {
                     ended_at.lock().unwrap().get_or_insert_with(Instant::now);
                     crashes.fetch_add(1, Ordering::SeqCst);
                 }
@@ -135,7 +137,7 @@
 }
 
 /// Answers all requests with `report` until a completion comes.
-fn report_until_completion(mut stream: TcpStream, report: &str) -> Option<()> {
+fn report_until_completion(stream: &mut TcpStream, report: &str) -> Option<()> {
     let mut buffer = vec![0; 64 * 1024];
     loop {
         let length = stream.read(&mut buffer).ok().filter(|length| *length > 0)?;
