review: the stand-ins of case 6 are a module each

Cause: one file held sockets, HTTP, the store, an engine and the daemon's process. Change: review/standins-2/common/ has a file for each; nothing else changes.

--- a/review/standins-2/slow_readers.rs
+++ b/review/standins-2/slow_readers.rs
@@ -11,7 +11,12 @@
     time::{Duration, Instant},
 };
 
-use common::{Daemon, Engine, Folder, Store};
+use common::{
+    daemon::{self, Daemon, Folder},
+    engine::Engine,
+    http, sockets,
+    store::Store,
+};
 
 /// Size of each answer, equal to the limit of the configuration on request bodies.
 const ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -93,7 +98,7 @@
     let stopped_at = Instant::now();
     let mut process_ended_at = None;
     if has_trouble {
-        common::send_signal(&daemon.child, common::SIGTERM);
+        daemon::send_signal(&daemon.child, daemon::SIGTERM);
         while process_ended_at.is_none() && stopped_at.elapsed() < GRACE {
             if let Ok(Some(_)) = daemon.child.try_wait() {
                 process_ended_at = Some(Instant::now());
@@ -195,7 +200,7 @@
         ended_at: Instant::now(),
     };
     let read = || -> std::io::Result<()> {
-        let mut stream = common::connect_as_slow_reader(front, 16 * 1024)?;
+        let mut stream = sockets::connect_as_slow_reader(front, 16 * 1024)?;
         let body = match method {
             "POST" => "content-length: 2\r\n\r\n{}",
             _ => "\r\n",
@@ -206,7 +211,7 @@
         )?;
         let started_at = Instant::now();
         let mut reader = BufReader::with_capacity(4 * 1024, stream);
-        let Some(head) = common::read_head(&mut reader)? else {
+        let Some(head) = http::read_head(&mut reader)? else {
             return Ok(());
         };
         answer.length = head
